--- /dev/null
+++ b/cmd/arrowhitch/main_test.go
@@ -0,0 +1,114 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+
+	"arrowhitch/internal/fakes"
+)
+
+// build makes both programs once for all tests.
+func build(t *testing.T) string {
+	t.Helper()
+	dir := t.TempDir()
+	cmd := exec.Command("go", "build", "-o", dir, "arrowhitch/cmd/...")
+	if out, err := cmd.CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	return dir
+}
+
+const settings = `{"az":"a","azs":["a"],"caps":{"attempts-cap":3,"may-cancel":true,"connect-timeout":75000000,"conn-idle":10000000000},
+	"discovery":"on_request","contract":{"must-ask-in":10000000000},"replicas-of-me":1,
+	"profiles":[{"name":"get","deadline":2000000000,"slo":1000000000,"effect":"free","gain":1}]}`
+
+func configText(listen, backend, settings string) string {
+	return fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":"127.0.0.1:1","seed":"8c1f30d27a5be964",
+		"limits":{"cores":1,"memory_mb":192,"sockets":1024},"known":{"rev":1,"all":true,"targets":[
+		{"uid":"s","endpoint":%q,"az":"a","model":"m","pod_group":0,"state":"SERVING","capacity_hint":1,"boot_ms":0}]},
+		"settings":%s}`, listen, backend, settings)
+}
+
+// Both programs, as they are deployed: each gives an answer, and the node ends well when it is told to.
+func TestPrograms(t *testing.T) {
+	bin := build(t)
+	t.Run("simhost", func(t *testing.T) {
+		cmd := exec.Command(filepath.Join(bin, "simhost"))
+		cmd.Stdin = strings.NewReader(`{"now":1,"nodes":[]}` + "\n")
+		if out, err := cmd.Output(); err != nil || string(out) != `{"nodes":[]}`+"\n" {
+			t.Errorf("%q %v", out, err)
+		}
+	})
+	t.Run("arrowhitch", func(t *testing.T) {
+		b := fakes.NewBackend(t, func(fakes.Seen, int) string { return "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok" })
+		listen := fakes.Refusing(t)
+		path := filepath.Join(t.TempDir(), "config.json")
+		if err := os.WriteFile(path, []byte(configText("", b.Addr, settings)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		cmd := exec.Command(filepath.Join(bin, "arrowhitch"))
+		cmd.Env = append(os.Environ(), "PROXY_CONFIG="+path, "PROXY_LISTEN="+listen)
+		var log bytes.Buffer
+		cmd.Stderr = &log
+		if err := cmd.Start(); err != nil {
+			t.Fatal(err)
+		}
+		fakes.Eventually(t, "the node", func() bool {
+			resp, err := http.Get("http://" + listen + "/health/ready")
+			if err != nil {
+				return false
+			}
+			resp.Body.Close()
+			return resp.StatusCode == http.StatusOK
+		})
+		req, _ := http.NewRequest(http.MethodGet, "http://"+listen+"/get/x", nil)
+		req.Header.Set("X-Trace-Id", "1")
+		req.Header.Set("X-Qos", "get")
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, _ := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		if resp.StatusCode != http.StatusOK || string(body) != "ok" {
+			t.Errorf("%d %q", resp.StatusCode, body)
+		}
+		cmd.Process.Signal(syscall.SIGTERM)
+		if err := cmd.Wait(); err != nil {
+			t.Errorf("after SIGTERM: %v\n%s", err, log.Bytes())
+		}
+		if _, err := net.Dial("tcp", listen); err == nil {
+			t.Error("it still listens")
+		}
+	})
+	t.Run("bad configuration", func(t *testing.T) {
+		dir := t.TempDir()
+		for name, text := range map[string]string{"unreadable": "", "not JSON": "{", "no settings": `{"listen":"127.0.0.1:0","discovery":"x:1"}`,
+			"no listen":      configText("", "127.0.0.1:1", settings),
+			"rejected":       configText("127.0.0.1:0", "127.0.0.1:1", `{"profiles":[]}`),
+			"unknown effect": configText("127.0.0.1:0", "127.0.0.1:1", strings.Replace(settings, "free", "odd", 1))} {
+			path := filepath.Join(dir, "config.json")
+			os.Remove(path)
+			if text != "" {
+				if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+					t.Fatal(err)
+				}
+			}
+			cmd := exec.Command(filepath.Join(bin, "arrowhitch"))
+			cmd.Env = []string{"PROXY_CONFIG=" + path}
+			out, err := cmd.CombinedOutput()
+			if err == nil || strings.Count(string(out), "\n") != 1 || !strings.HasPrefix(string(out), "arrowhitch: ") {
+				t.Errorf("%s: %v, said %q", name, err, out)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/cmd/simhost/main.go
@@ -0,0 +1,16 @@
+// Simhost hosts balancers on the simulator's wire: batches on standard input, replies on standard output.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"arrowhitch/internal/wire"
+)
+
+func main() {
+	if err := wire.Serve(os.Stdin, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "simhost:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/backend/attempt.go
@@ -0,0 +1,408 @@
+package backend
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"arrowhitch/logic"
+)
+
+const (
+	// WholeAnswer is the longest answer that is read whole before it is passed on; a longer one streams.
+	WholeAnswer = 64 << 10
+	headLimit   = 64 << 10
+	inlineBody  = 16 << 10
+	streamStall = 1500 * time.Millisecond
+	answerPause = 250 * time.Millisecond
+	answerSpare = 5 * time.Millisecond
+	spareTime   = 20 * time.Millisecond // what an error's body may take for its connection to be kept
+)
+
+// Body is a request's body in pieces; it can be read any number of times.
+type Body [][]byte
+
+// Len is its length.
+func (b Body) Len() (n int64) {
+	for _, p := range b {
+		n += int64(len(p))
+	}
+	return n
+}
+
+// Request is what goes to a backend. All attempts of a client's request share it and leave it as it is. Its
+// words are written as they stand: whoever took them from a client has checked them.
+type Request struct {
+	Method string
+	URI    string // path and query
+	Host   string
+	Header http.Header
+	Body   Body
+}
+
+// Reply is how an attempt ended.
+type Reply struct {
+	Result   logic.Result
+	Header   http.Header
+	Body     []byte
+	Streamed bool
+	First    time.Time // when a streamed answer's first bytes came
+	Load     string
+}
+
+// Begin is asked once an answer is known to be long: it commits the request to this attempt and gives the
+// client's writer, or nil if the request is over.
+type Begin func(header http.Header, length int64) io.Writer
+
+// Attempt is one send of a request to one backend.
+type Attempt struct {
+	up       *Upstream
+	req      *Request
+	deadline time.Time
+
+	mu        sync.Mutex
+	conn      *conn
+	stop      context.CancelFunc // ends the dial
+	cancelled bool
+}
+
+// NewAttempt prepares an attempt that is given up at deadline.
+func NewAttempt(up *Upstream, req *Request, deadline time.Time) *Attempt {
+	return &Attempt{up: up, req: req, deadline: deadline}
+}
+
+var longAgo = time.Unix(1, 0)
+
+// Cancel stops waiting for the attempt. It neither blocks nor waits.
+func (a *Attempt) Cancel() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.cancelled = true
+	if a.stop != nil {
+		a.stop()
+	}
+	if a.conn != nil {
+		a.conn.SetDeadline(longAgo)
+	}
+}
+
+// take makes c the connection that Cancel interrupts; false if it has come already.
+func (a *Attempt) take(c *conn) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.conn = c
+	return !a.cancelled
+}
+
+// letGo ends Cancel's hold on the connection; false if it has come already.
+func (a *Attempt) letGo() bool { return a.take(nil) }
+
+func (a *Attempt) isCancelled() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.cancelled
+}
+
+func (a *Attempt) extend(c *conn, to time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return !a.cancelled && c.SetDeadline(to) == nil
+}
+
+func (a *Attempt) within(c *conn, d time.Duration) bool {
+	t := time.Now().Add(d)
+	return t.Before(a.deadline) && a.extend(c, t)
+}
+
+// Do runs the attempt.
+func (a *Attempt) Do(begin Begin) Reply {
+	c, err := a.connect()
+	if err != nil {
+		var timeout interface{ Timeout() bool }
+		switch {
+		case a.isCancelled():
+			return Reply{Result: logic.Cancelled}
+		case errors.As(err, &timeout) && timeout.Timeout() && !time.Now().Before(a.deadline):
+			// It was the client's time that ran out: that says nothing against the backend.
+			return Reply{Result: logic.TimedOut}
+		}
+		return Reply{Result: logic.NotConnected}
+	}
+	reply, clean := a.exchange(c, begin)
+	// A cancel that comes now would leave its mark on a connection that is somebody else's by then.
+	if a.letGo() && clean {
+		c.keep()
+	} else {
+		c.drop()
+	}
+	return reply
+}
+
+func (a *Attempt) connect() (*conn, error) {
+	if a.isCancelled() {
+		return nil, context.Canceled
+	}
+	c := a.up.reuse(a.deadline)
+	if c == nil {
+		ctx, stop := context.WithCancel(context.Background())
+		defer stop()
+		a.mu.Lock()
+		a.stop = stop
+		a.mu.Unlock()
+		if a.isCancelled() {
+			return nil, context.Canceled
+		}
+		var err error
+		if c, err = a.up.dial(ctx, a.deadline); err != nil {
+			return nil, err
+		}
+	}
+	if !a.take(c) {
+		c.drop()
+		return nil, context.Canceled
+	}
+	return c, nil
+}
+
+var heads = sync.Pool{New: func() any { b := make([]byte, 0, 4<<10); return &b }}
+
+func (a *Attempt) write(c *conn) error {
+	r := a.req
+	p := heads.Get().(*[]byte)
+	defer heads.Put(p)
+	b := append(append(append(append((*p)[:0], r.Method...), ' '), r.URI...), " HTTP/1.1\r\n"...)
+	host := r.Host
+	if host == "" {
+		host = a.up.addr
+	}
+	b = field(b, "Host", host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			b = field(b, name, v)
+		}
+	}
+	b = append(b, "X-Expires-In-Ms: "...)
+	b = strconv.AppendInt(b, max(time.Until(a.deadline).Milliseconds(), 1), 10)
+	n := r.Body.Len()
+	if n > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
+		b = strconv.AppendInt(append(b, "\r\nContent-Length: "...), n, 10)
+	}
+	b = append(b, "\r\n\r\n"...)
+	rest := r.Body
+	if n <= inlineBody {
+		for _, part := range rest {
+			b = append(b, part...)
+		}
+		rest = nil
+	}
+	*p = b
+	if _, err := c.TCPConn.Write(b); err != nil {
+		return err
+	}
+	for _, part := range rest {
+		if _, err := c.TCPConn.Write(part); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func field(b []byte, name, value string) []byte {
+	return append(append(append(append(b, name...), ": "...), value...), "\r\n"...)
+}
+
+// exchange writes the request and reads the answer. clean: the connection can carry another request.
+func (a *Attempt) exchange(c *conn, begin Begin) (reply Reply, clean bool) {
+	var wrote error
+	join := func() error { return wrote }
+	if a.req.Body.Len() <= inlineBody {
+		if wrote = a.write(c); wrote != nil {
+			a.within(c, spareTime)
+		}
+	} else {
+		// Danger: a backend may answer, with an error say, and read no further. A node that first writes it
+		// all would wait for a reader that is not there.
+		done := make(chan error, 1)
+		go func() {
+			err := a.write(c)
+			if err != nil {
+				a.within(c, spareTime)
+			}
+			done <- err
+		}()
+		join = sync.OnceValue(func() error {
+			select {
+			case err := <-done:
+				return err
+			default:
+			}
+			c.SetWriteDeadline(longAgo)
+			return <-done
+		})
+		defer join()
+	}
+	c.attempt, c.begun = a, false
+	defer func() { c.attempt = nil }()
+	resp, err := a.head(c)
+	if err != nil {
+		return Reply{Result: a.broken(err, join())}, false
+	}
+	reply.Load = resp.Header.Get("Endpoint-Load-Metrics")
+	if resp.StatusCode != http.StatusOK {
+		reply.Result = logic.Errored
+		if s := resp.StatusCode; (s == http.StatusServiceUnavailable || s == http.StatusGatewayTimeout) &&
+			resp.Header.Get("X-Never-Ran") == "1" {
+			reply.Result = logic.TurnedAway
+		}
+		if join() != nil || resp.Close || !delimited(resp) {
+			return reply, false
+		}
+		c.attempt = nil
+		a.extend(c, time.Now().Add(spareTime))
+		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, headLimit))
+		return reply, err == nil && n < headLimit && c.br.Buffered() == 0
+	}
+	if !delimited(resp) { // where it ends cannot be told from where it broke
+		return Reply{Result: logic.ConnLost, Load: reply.Load}, false
+	}
+	reply.Header = resp.Header
+	if !a.body(c, resp, begin, &reply) {
+		return reply, false
+	}
+	return reply, join() == nil && !resp.Close && c.br.Buffered() == 0
+}
+
+// delimited tells whether the answer says where it ends.
+func delimited(r *http.Response) bool {
+	return r.ContentLength >= 0 || len(r.TransferEncoding) == 1 && r.TransferEncoding[0] == "chunked"
+}
+
+// head reads the head of the final answer.
+func (a *Attempt) head(c *conn) (*http.Response, error) {
+	c.left = headLimit
+	defer func() { c.left = -1 }()
+	for range 8 {
+		resp, err := http.ReadResponse(c.br, &http.Request{Method: a.req.Method})
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode >= 200 {
+			return resp, nil
+		}
+		if resp.StatusCode == http.StatusSwitchingProtocols {
+			break
+		}
+	}
+	return nil, errors.New("no final answer")
+}
+
+// broken words an exchange that ended with no answer. wrote is how the writing ended.
+func (a *Attempt) broken(read, wrote error) logic.Result {
+	switch {
+	case a.isCancelled():
+		return logic.Cancelled
+	case !time.Now().Before(a.deadline) && errors.Is(read, os.ErrDeadlineExceeded):
+		return logic.TimedOut
+	case wrote != nil:
+		return logic.NotConnected
+	case errors.Is(read, os.ErrDeadlineExceeded): // it stopped half way
+		return logic.TimedOut
+	}
+	return logic.ConnLost
+}
+
+func (a *Attempt) body(c *conn, resp *http.Response, begin Begin, reply *Reply) bool {
+	size := int64(WholeAnswer)
+	if n := resp.ContentLength; n >= 0 && n <= size {
+		size = n
+	} else if n > size {
+		size = 4 << 10 // its first bytes are as good as it gets: it is streamed anyway
+	}
+	buf := make([]byte, 0, min(size+1, 1<<10))
+	for {
+		if len(buf) == cap(buf) {
+			buf = append(buf, 0)[:len(buf)]
+		}
+		n, err := resp.Body.Read(buf[len(buf):min(cap(buf), int(size)+1)])
+		buf = buf[:len(buf)+n]
+		if errors.Is(err, io.EOF) {
+			reply.Result, reply.Body = logic.Served, buf
+			return true
+		}
+		if err != nil {
+			reply.Result = a.broken(err, nil)
+			return false
+		}
+		if int64(len(buf)) > WholeAnswer || resp.ContentLength > WholeAnswer && len(buf) > 0 {
+			break
+		}
+	}
+	reply.First = time.Now()
+	w := begin(resp.Header, resp.ContentLength)
+	if w == nil {
+		reply.Result = logic.Cancelled
+		return false
+	}
+	reply.Streamed = true
+	return a.stream(c, resp, buf, w, reply)
+}
+
+var copyBuffers = sync.Pool{New: func() any { b := make([]byte, 32<<10); return &b }}
+
+// stream passes on the rest. No deadline counts any more, only that neither side stands still.
+func (a *Attempt) stream(c *conn, resp *http.Response, first []byte, w io.Writer, reply *Reply) bool {
+	p := copyBuffers.Get().(*[]byte)
+	defer copyBuffers.Put(p)
+	c.attempt = nil
+	part, end := first, error(nil)
+	for {
+		if len(part) > 0 {
+			if _, err := w.Write(part); err != nil {
+				reply.Result = logic.Cancelled // by the client
+				return false
+			}
+		}
+		if errors.Is(end, io.EOF) {
+			reply.Result = logic.Served
+			return true
+		}
+		if end != nil {
+			reply.Result = logic.ConnLost
+			return false
+		}
+		a.extend(c, time.Now().Add(streamStall))
+		var n int
+		n, end = resp.Body.Read(*p)
+		part = (*p)[:n]
+	}
+}
+
+// Probe asks a backend for path beside the requests, and tells how that ended.
+func Probe(ctx context.Context, up *Upstream, path string, timeout time.Duration) Reply {
+	req := &Request{Method: http.MethodGet, URI: path, Header: http.Header{}}
+	a := NewAttempt(up, req, time.Now().Add(timeout))
+	defer context.AfterFunc(ctx, a.Cancel)()
+	return a.Do(func(http.Header, int64) io.Writer { return nil })
+}
+
+// ParseLoad reads a load report, "TEXT inflight=7, queue=2". What is not understood is passed over.
+func ParseLoad(text string) map[string]float64 {
+	text, ok := strings.CutPrefix(text, "TEXT ")
+	if !ok {
+		return nil
+	}
+	load := map[string]float64{}
+	for pair := range strings.SplitSeq(text, ",") {
+		name, value, ok := strings.Cut(strings.TrimSpace(pair), "=")
+		if v, err := strconv.ParseFloat(value, 64); ok && err == nil {
+			load[name] = v
+		}
+	}
+	return load
+}
--- /dev/null
+++ b/internal/backend/pool.go
@@ -0,0 +1,291 @@
+// Package backend is the node's side toward the backends: a pool of connections for each of them, and one
+// attempt of a request over HTTP/1.1. Nothing here is sent twice: an attempt writes its request once, on one
+// connection, and reports one result.
+package backend
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Options bound the pool.
+type Options struct {
+	ConnectTimeout time.Duration // a connection that is not up by then never was
+	IdleTimeout    time.Duration
+}
+
+// Pool keeps the idle connections of all backends.
+type Pool struct {
+	opt    Options
+	budget *Budget
+	dialer net.Dialer
+
+	mu        sync.Mutex
+	upstreams map[*Upstream]struct{}
+	sweeping  bool
+	closed    bool
+}
+
+// Upstream is one backend at one address.
+type Upstream struct {
+	pool  *Pool
+	addr  string
+	since time.Duration
+	idle  []*conn // the one used last is at the end
+	gone  bool
+}
+
+// conn is a connection to a backend; it carries one request at a time.
+type conn struct {
+	*net.TCPConn
+	br    *bufio.Reader
+	left  int64
+	since time.Time
+	up    *Upstream
+
+	attempt *Attempt
+	begun   bool // some of that answer has come
+}
+
+var errHeadTooLong = errors.New("the head of the answer is too long")
+
+// Read bounds the head: net/http's parser has no limit of its own for an endless one.
+func (c *conn) Read(p []byte) (int, error) {
+	if c.left < 0 {
+		return c.read(p)
+	}
+	if c.left == 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := c.read(p[:min(int64(len(p)), c.left)])
+	c.left -= int64(n)
+	return n, err
+}
+
+// read bounds the pauses of an answer that has begun. Danger: a backend whose answer stops half way would hold
+// the request until the client's time is up, when another could still have served it.
+func (c *conn) read(p []byte) (int, error) {
+	a := c.attempt
+	bounded := a != nil && c.begun && a.within(c, answerPause)
+	n, err := c.TCPConn.Read(p)
+	if bounded && n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && a.within(c, answerSpare) {
+		// Where this node got no CPU for so long, the rest may have come meanwhile.
+		n, err = c.TCPConn.Read(p)
+	}
+	c.begun = c.begun || n > 0
+	return n, err
+}
+
+// NewPool makes an empty pool whose connections count against budget.
+func NewPool(opt Options, budget *Budget) *Pool {
+	if opt.ConnectTimeout <= 0 {
+		opt.ConnectTimeout = 250 * time.Millisecond
+	}
+	if opt.IdleTimeout <= 0 {
+		opt.IdleTimeout = 10 * time.Second
+	}
+	p := &Pool{opt: opt, budget: budget, upstreams: map[*Upstream]struct{}{}}
+	p.dialer = net.Dialer{KeepAlive: -1}
+	budget.OnShort(p.evict)
+	return p
+}
+
+// Nowhere is a backend that the node has no address for: attempts find it not connected.
+func (p *Pool) Nowhere() *Upstream { return &Upstream{pool: p, gone: true} }
+
+// Upstream adds a backend that started at since.
+func (p *Pool) Upstream(addr string, since time.Duration) *Upstream {
+	u := &Upstream{pool: p, addr: addr, since: since}
+	p.mu.Lock()
+	p.upstreams[u] = struct{}{}
+	p.mu.Unlock()
+	return u
+}
+
+// Addr is where the backend listens.
+func (u *Upstream) Addr() string { return u.addr }
+
+// Since is when the backend started.
+func (u *Upstream) Since() time.Duration { return u.since }
+
+// Retire forgets a backend that is gone or has moved. Attempts that are out end as they would have.
+func (u *Upstream) Retire() {
+	u.pool.mu.Lock()
+	u.gone = true
+	delete(u.pool.upstreams, u)
+	u.pool.mu.Unlock()
+	u.CloseIdle()
+}
+
+// CloseIdle closes the backend's idle connections.
+func (u *Upstream) CloseIdle() {
+	u.pool.mu.Lock()
+	idle := u.idle
+	u.idle = nil
+	u.pool.mu.Unlock()
+	u.pool.discard(idle)
+}
+
+// Close closes all idle connections, and those that come back later.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	p.closed = true
+	var idle []*conn
+	for u := range p.upstreams {
+		idle = append(idle, u.idle...)
+		u.idle = nil
+	}
+	p.mu.Unlock()
+	p.discard(idle)
+}
+
+func (p *Pool) discard(conns []*conn) {
+	for _, c := range conns {
+		c.drop()
+	}
+}
+
+func (c *conn) drop() {
+	c.TCPConn.Close()
+	c.up.pool.budget.Give()
+}
+
+func (p *Pool) idleFor() time.Duration { return p.opt.IdleTimeout * 7 / 10 }
+
+func (u *Upstream) reuse(deadline time.Time) *conn {
+	p := u.pool
+	for {
+		p.mu.Lock()
+		n := len(u.idle)
+		if n == 0 {
+			p.mu.Unlock()
+			return nil
+		}
+		c := u.idle[n-1]
+		u.idle[n-1] = nil
+		u.idle = u.idle[:n-1]
+		p.mu.Unlock()
+		if time.Since(c.since) < p.idleFor() && c.SetDeadline(deadline) == nil && c.quiet() {
+			return c
+		}
+		c.drop()
+	}
+}
+
+// quiet tells whether the peer has neither closed the connection nor sent anything unasked.
+func (c *conn) quiet() bool {
+	if c.br.Buffered() > 0 {
+		return false
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	ok := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		ok = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return ok && err == nil
+}
+
+func (c *conn) keep() {
+	u, p := c.up, c.up.pool
+	c.since = time.Now()
+	p.mu.Lock()
+	kept := !u.gone && !p.closed
+	if kept {
+		if !p.sweeping {
+			u.idle = append(u.idle, c)
+			p.sweeping = true
+			time.AfterFunc(p.sweepEvery(), p.sweep)
+		}
+	}
+	p.mu.Unlock()
+	if !kept {
+		c.drop()
+	}
+}
+
+func (p *Pool) sweepEvery() time.Duration { return max(p.idleFor()/8, time.Millisecond) }
+
+func (p *Pool) sweep() {
+	var old []*conn
+	any := false
+	p.mu.Lock()
+	for u := range p.upstreams {
+		n := 0
+		for n < len(u.idle) && time.Since(u.idle[n].since) >= p.idleFor() {
+			n++
+		}
+		old = append(old, u.idle[:n]...)
+		u.idle = append(u.idle[:0], u.idle[n:]...)
+		any = any || len(u.idle) > 0
+	}
+	p.sweeping = any
+	if any {
+		time.AfterFunc(p.sweepEvery(), p.sweep)
+	}
+	p.mu.Unlock()
+	p.discard(old)
+}
+
+func (p *Pool) evict() bool {
+	p.mu.Lock()
+	var oldest *Upstream
+	for u := range p.upstreams {
+		if len(u.idle) > 0 && (oldest == nil || u.idle[0].since.Before(oldest.idle[0].since)) {
+			oldest = u
+		}
+	}
+	if oldest == nil {
+		p.mu.Unlock()
+		return false
+	}
+	c := oldest.idle[0]
+	oldest.idle = append(oldest.idle[:0], oldest.idle[1:]...)
+	p.mu.Unlock()
+	c.drop()
+	return true
+}
+
+var (
+	errNoDescriptor = errors.New("no descriptor is left for a connection")
+	errNoAddress    = errors.New("the backend is not on the list")
+)
+
+func (u *Upstream) dial(ctx context.Context, deadline time.Time) (*conn, error) {
+	p := u.pool
+	if u.addr == "" {
+		return nil, errNoAddress
+	}
+	if !p.budget.Take() {
+		return nil, errNoDescriptor
+	}
+	until := time.Now().Add(p.opt.ConnectTimeout)
+	if until.After(deadline) {
+		until = deadline
+	}
+	ctx, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
+	nc, err := p.dialer.DialContext(ctx, "tcp", u.addr)
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{TCPConn: nc.(*net.TCPConn), up: u, left: -1}
+	c.br = bufio.NewReaderSize(io.Reader(c), 4<<10)
+	if err := c.SetDeadline(deadline); err != nil {
+		c.drop()
+		return nil, err
+	}
+	return c, nil
+}
--- /dev/null
+++ b/internal/node/body.go
@@ -0,0 +1,90 @@
+package node
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"arrowhitch/internal/backend"
+)
+
+const (
+	longestBody = 32 << 20
+	bodyStall   = 5 * time.Second
+	bodyPace    = 32 << 10
+	firstPiece  = 4 << 10
+	largePiece  = 256 << 10
+)
+
+var (
+	errTooLong  = errors.New("the body is too long")
+	errNoMemory = errors.New("no memory is left for the body")
+	errEnding   = errors.New("the node is ending")
+)
+
+type bodyBudget struct{ left atomic.Int64 }
+
+func (b *bodyBudget) take(n int64) bool {
+	if b.left.Add(-n) >= 0 {
+		return true
+	}
+	b.left.Add(n)
+	return false
+}
+
+func (n *Node) read(c *client, r *http.Request) (body backend.Body, took int64, err error) {
+	if r.ContentLength == 0 || r.Body == nil {
+		return nil, 0, nil
+	}
+	if r.ContentLength > longestBody {
+		return nil, 0, errTooLong
+	}
+	if strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
+		c.SetWriteDeadline(time.Now().Add(clientStall))
+		if _, err := io.WriteString(c.TCPConn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+			return nil, 0, err
+		}
+	}
+	began := time.Now()
+	var total int64
+	piece := int64(firstPiece)
+	for {
+		if r.ContentLength > 0 {
+			piece = min(piece, r.ContentLength-total+1)
+		}
+		if !n.bodies.take(piece) {
+			return nil, took, errNoMemory
+		}
+		took += piece
+		part := make([]byte, piece)
+		got := 0
+		for got < len(part) && err == nil {
+			until := began.Add(bodyStall + time.Duration(total+int64(got))*time.Second/bodyPace)
+			if t := time.Now().Add(bodyStall); t.Before(until) {
+				until = t
+			}
+			if c.SetReadDeadline(until); n.ending.Load() {
+				return nil, took, errEnding
+			}
+			var k int
+			k, err = r.Body.Read(part[got:])
+			got += k
+		}
+		if total += int64(got); total > longestBody {
+			return nil, took, errTooLong
+		}
+		if got > 0 {
+			body = append(body, part[:got])
+		}
+		if errors.Is(err, io.EOF) {
+			return body, took, nil
+		}
+		if err != nil {
+			return nil, took, err
+		}
+		piece = min(2*piece, largePiece)
+	}
+}
--- /dev/null
+++ b/logic/logic.go
@@ -0,0 +1,624 @@
+package logic // the interface (settings, events, actions) is in api.go, plain records are in state.go
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Balancer holds the decisions of one proxy.
+type Balancer struct {
+	set                    Settings
+	host                   Host
+	rng                    *rand.Rand
+	classes                map[string]*class
+	tenants                map[string]*tenant
+	kinds                  map[string]*stat // latency of each kind of server, as a multiple of its class's mean
+	servers                map[string]*server
+	list, ready            []*server     // in the list's order
+	table                  []float64     // running sums of the weights of ready
+	fresh                  time.Duration // the table's age
+	dirty, asking, looking bool
+	requests               map[string]*request
+	bySeq                  map[uint64]*request // those without their final answer, by timer token
+	seq                    uint64
+	out, stuck, refusals   int     // attempts out, those at ejected servers; failed calls in a row
+	budget                 float64 // further attempts that may be made
+	places                 map[string]int
+	zones                  map[string]*stat // loss of attempts in each zone
+	asked, flow            stat
+	given                  stat          // weights listed
+	value                  stat          // work per worth of requests
+	usual                  float64       // such sends to a warm server
+	aim, pace, life, first time.Duration // the shortest aim; spans of some answers and of a server's state
+}
+
+const (
+	pool       = 4.0  // samples that a wider mean counts for: below a handful, own samples are mostly noise
+	toll       = 0.25 // part of the price by which another zone must be better: less is noise of the samples
+	explore    = 0.02
+	extraShare = 0.1
+	extraBurst = 3.0
+	panicShare = 0.5
+	minSamples = 10.0
+	headroom   = 1.3 // sends over timely answers: room to find out that an overload is over
+	trickle    = 0.1 // of what would be refused goes through, to learn that an overload is over
+	overdue    = 14.0
+	subset     = 16 // servers of a zone drawn from at the least: one of them lost is within headroom
+	asksSeq    = 0  // timer token of the list
+	looksSeq   = math.MaxInt64
+)
+
+// New makes the balancer of one proxy.
+func New(s Settings, seed uint64, host Host) (*Balancer, error) {
+	if err := s.check(); err != nil {
+		return nil, err
+	}
+	b := &Balancer{set: s, host: host, rng: rand.New(rand.NewPCG(seed, 0x62617361)), budget: extraBurst,
+		classes: map[string]*class{}, servers: map[string]*server{}, requests: map[string]*request{},
+		bySeq: map[uint64]*request{}, kinds: map[string]*stat{}, zones: map[string]*stat{},
+		places: map[string]int{}, tenants: map[string]*tenant{}, aim: math.MaxInt64}
+	for _, c := range s.Classes {
+		if c.Aim <= 0 || c.Aim > c.Deadline {
+			c.Aim = c.Deadline
+		}
+		b.classes[c.Name] = &class{Class: c}
+		b.aim, b.pace = min(b.aim, c.Aim), max(b.pace, 5*c.Aim)
+		b.life = max(b.life, 2*c.Deadline)
+	}
+	for _, t := range s.Tenants {
+		rate := t.Rate / float64(max(s.Proxies, 1))
+		b.tenants[t.Name] = &tenant{rate: rate, left: rate}
+	}
+	// A server's state holds for about as long as it takes one to warm up.
+	b.life = max(b.life, s.ColdTime)
+	return b, nil
+}
+
+// ---- the list ----
+
+// Fleet takes news of the list: new servers start at zero, departed ones are dropped.
+func (b *Balancer) Fleet(now time.Duration, u FleetUpdate) {
+	if u.Kind == FleetRefused { // the list is overloaded or away: come back later, and not all at once
+		b.refusals = min(b.refusals+1, 4)
+		b.ask(b.set.MustAskIn / 64 << b.refusals)
+		return
+	}
+	b.dirty = true
+	if u.Kind != FleetChanges {
+		seen := map[string]bool{}
+		for _, e := range u.Servers {
+			seen[e.ID] = true
+		}
+		for _, s := range b.list {
+			if !seen[s.ID] {
+				delete(b.servers, s.ID)
+			}
+		}
+	}
+	for _, e := range u.Servers {
+		s := b.servers[e.ID]
+		if e.State == Removed {
+			delete(b.servers, e.ID)
+			continue
+		}
+		if s == nil {
+			// Both shares of a golden section: proxies and servers are spread evenly however many there are.
+			_, place := math.Modf(math.Phi*float64(b.places[e.Zone]) + math.Sqrt2*float64(max(b.set.Me, 0)))
+			s = &server{place: place}
+			b.places[e.Zone]++
+			b.servers[e.ID] = s
+			b.list = append(b.list, s)
+		} else if e.Since != s.Since { // restarted: what was seen of the old process says nothing
+			s.slow, s.strikes, s.trips, s.until, s.trial = stat{}, 0, 0, 0, false
+		}
+		if !(e.Weight > 0) || math.IsInf(e.Weight, 1) || b.set.Weights == WeightLive {
+			e.Weight = b.given.mean(1, 0.001)
+		}
+		b.given.add(e.Weight)
+		s.Server, s.home = e, e.Zone == b.set.Zone
+	}
+	b.list = slices.DeleteFunc(b.list, func(s *server) bool { return b.servers[s.ID] != s })
+	slices.SortStableFunc(b.list, func(x, y *server) int { return cmp.Compare(x.place, y.place) })
+	if u.Kind == FleetRemembered {
+		if b.set.Ask {
+			b.ask(b.set.MustAskIn / 4)
+		}
+	} else {
+		b.refusals = 0
+	}
+}
+
+func (b *Balancer) ask(within time.Duration) {
+	if b.set.Ask && !b.asking {
+		b.asking = true
+		b.host.SetTimer(asksSeq, time.Duration(b.rng.Float64()*float64(within)))
+	}
+}
+
+// refresh weighs the ready servers anew.
+func (b *Balancer) refresh(now time.Duration) {
+	if !b.dirty && now-b.fresh < b.aim/2 {
+		return
+	}
+	b.dirty, b.fresh, b.stuck = false, now, 0
+	var warm, all, bad, sum, sent stat
+	for _, s := range b.list {
+		s.weight = s.Weight / b.slowness(s, now)
+		w := b.warmth(s, now)
+		if w == 1 {
+			warm.add(s.weight)
+		}
+	}
+	b.ready, b.table = b.ready[:0], b.table[:0]
+	for _, s := range b.list {
+		// Danger: a server that has just started holds nothing, so a live weight is at its highest and its
+		// counter wins each pair, which doubles its draws. Squaring the warmth takes that back.
+		if w := b.warmth(s, now); w < 1 {
+			s.weight = min(s.weight, warm.mean(s.weight, 0.001)) * w * w
+		}
+		if !s.home {
+			s.weight *= b.spill(s.Zone, now)
+		}
+		if all.add(s.weight); b.ejected(s, now) {
+			bad.add(s.weight)
+			b.stuck += s.inFlight
+		}
+	}
+	calm, taken := bad.sum <= panicShare*all.sum, map[string]int{}
+	for _, s := range b.list {
+		// Danger: proxies times servers. A subset, even over all proxies, keeps connections few, and a proxy
+		// that sees little knows those servers well.
+		if s.State == Running && !(calm && b.ejected(s, now)) && taken[s.Zone] < max(subset, 2*b.out) {
+			taken[s.Zone]++
+			sent.sum, sent.n = sent.sum+s.sent.fade(now, b.set.FallTime+1).n, sent.n+b.warmth(s, now)
+			sum.add(s.weight)
+			b.ready, b.table = append(b.ready, s), append(b.table, sum.sum)
+		}
+	}
+	b.usual = sent.mean(0, 0.001)
+}
+
+// warmth is the part of its capacity that a server that has just started has at the least.
+func (b *Balancer) warmth(s *server, now time.Duration) float64 {
+	age := now - s.Since
+	if s.Since == 0 || age >= b.set.ColdTime {
+		return 1
+	}
+	return b.set.ColdShare + (1-b.set.ColdShare)*float64(max(age, 0))/float64(b.set.ColdTime)
+}
+
+// pushed tells whether a cold server has had its part from this proxy, if all others do alike: its warmth
+// times half the multiple of what a warm one gets, as proxies differ. Danger: a burst right after its start.
+func (b *Balancer) pushed(s *server, now time.Duration) bool {
+	w := b.warmth(s, now)
+	return w < 1 && s.sent.fade(now, b.set.FallTime+1).n >= max(b.set.FallMultiple/2*w*b.usual, 1)
+}
+
+func (b *Balancer) slowness(s *server, now time.Duration) float64 {
+	kind := pooled(b.kinds, s.Kind, now, b.life).mean(1, pool)
+	return max(s.slow.fade(now, b.life).mean(kind, pool), 0.25)
+}
+
+// lately is a server's latency over the last few answers' time, shrunk toward its longer mean.
+func (b *Balancer) lately(s *server, now time.Duration) float64 {
+	return s.recent.fade(now, b.pace).mean(b.slowness(s, now), 1)
+}
+
+func (b *Balancer) spill(zone string, now time.Duration) float64 {
+	if b.set.Price.CrossZone <= 0 {
+		return 1
+	}
+	more := b.loss(b.set.Zone, now).mean(0, pool) - b.loss(zone, now).mean(0, pool)
+	return min(max(more/b.set.Price.CrossZone-toll, explore), 1)
+}
+
+func (b *Balancer) loss(zone string, now time.Duration) *stat {
+	return pooled(b.zones, zone, now, b.life)
+}
+
+// ---- pick ----
+
+// pick is the design: two distinct servers drawn by weight, the one with fewer own requests in flight wins.
+func (b *Balancer) pick(now time.Duration, may func(*server) bool) *server {
+	b.refresh(now)
+	one := b.draw(may, nil)
+	if one == nil {
+		return nil
+	}
+	two := b.draw(may, one)
+	if two == nil || one.inFlight < two.inFlight {
+		return one
+	}
+	// With many proxies most pairs tie: the one that answered own requests quicker of late wins.
+	if two.inFlight < one.inFlight || b.lately(two, now) < b.lately(one, now) {
+		return two
+	}
+	return one
+}
+
+func (b *Balancer) draw(may func(*server) bool, not *server) *server {
+	var sum float64
+	for range min(8*len(b.ready), 8) {
+		sum = b.table[len(b.table)-1]
+		i, _ := slices.BinarySearch(b.table, b.rng.Float64()*sum)
+		if s := b.ready[min(i, len(b.ready)-1)]; s != not && may(s) {
+			return s
+		}
+	}
+	var got *server
+	sum = 0
+	for _, s := range b.ready {
+		if s != not && may(s) {
+			if sum += s.weight; got == nil || b.rng.Float64()*sum < s.weight {
+				got = s
+			}
+		}
+	}
+	return got
+}
+
+// ---- health ----
+
+// ejected tells whether a server is out of the draws. Danger: one that fails at once empties its counter and
+// wins its pairs; one that hangs never reports.
+func (b *Balancer) ejected(s *server, now time.Duration) bool {
+	if now < s.until || s.trial && s.inFlight > 0 {
+		return true
+	}
+	return s.inFlight > 0 && now-s.quiet > b.hung()
+}
+
+// hung is how long a server may answer nothing while it holds attempts.
+func (b *Balancer) hung() time.Duration {
+	var most float64
+	for i := range b.set.Classes {
+		if c := b.classes[b.set.Classes[i].Name]; c.n >= minSamples {
+			most = max(most, c.lat+4)
+		}
+	}
+	if most == 0 {
+		return b.life
+	}
+	return time.Duration(2 * most)
+}
+
+func (b *Balancer) judge(now time.Duration, r *request, a *attempt, o Outcome) {
+	s, c := a.to, r.class
+	loss, silent := 1.0, s.quiet <= a.sent
+	if o.Result != TimedOut && o.Result != Cancelled {
+		s.quiet = now
+	}
+	switch o.Result {
+	case Served:
+		took := float64(o.Took)
+		if c.n++; c.n <= minSamples {
+			c.lat += (took - c.lat) / c.n
+		} else {
+			c.lat += (took - c.lat) / 50
+		}
+		b.flow.add(c.lat)
+		loss = took / float64(c.Aim)
+		loss = min(loss*loss, 1)
+		s.strikes, s.trips, s.trial = 0, 0, false
+		b.observe(now, s, took/max(c.lat, 1))
+	case Cancelled, NotSent:
+		return
+	case TurnedAway:
+		b.observe(now, s, 4)
+	case Errored, NotConnected, ConnLost, TimedOut:
+		if o.Result == TimedOut && now >= r.deadline && o.Took < c.Aim { // the client left it no time
+			return
+		}
+		b.observe(now, s, 4)
+		if o.Result == TimedOut && !silent {
+			break
+		}
+		if s.strikes++; s.strikes >= 2 || s.trial || o.Result == NotConnected {
+			b.eject(now, s)
+		}
+	}
+	b.loss(s.Zone, now).add(loss)
+}
+
+func (b *Balancer) observe(now time.Duration, s *server, ratio float64) {
+	ratio = min(ratio, 4)
+	pooled(b.kinds, s.Kind, now, b.life).add(ratio)
+	s.slow.fade(now, b.life).add(ratio)
+	s.recent.fade(now, b.pace).add(ratio)
+}
+
+// eject takes a server out of the draws, longer each time.
+func (b *Balancer) eject(now time.Duration, s *server) {
+	s.until = now + min(b.life/16<<s.trips, b.life/2)
+	s.trips, s.strikes, s.trial, b.dirty = min(s.trips+1, 4), 0, true, true
+}
+
+// ---- requests ----
+
+func (b *Balancer) mayResend(r *request, s *server, now time.Duration) bool {
+	if len(r.tries) > 0 && (len(r.tries) >= max(b.set.MaxAttempts, 1) || r.done || r.streams) {
+		return false
+	}
+	if r.out > 0 && !b.set.ParallelTries {
+		return false
+	}
+	for i := range r.tries {
+		a := &r.tries[i]
+		if a.proved || r.class.Effect == Safe {
+			continue
+		}
+		if r.class.Effect == Unsafe || now-a.sent >= r.class.Window {
+			return false
+		}
+		if r.class.Group == GroupZone && a.to.Zone != s.Zone ||
+			r.class.Group == GroupCell && (a.to.Cell != s.Cell || a.to.Zone != s.Zone) {
+			return false
+		}
+	}
+	return true
+}
+
+// mayRefuse is the rule of effects for a refusal, which promises that trying again is harmless.
+func (b *Balancer) mayRefuse(r *request) bool {
+	for i := range r.tries {
+		if !r.tries[i].proved && r.class.Effect != Safe && (r.class.Effect == Unsafe || r.class.Group != GroupAll) {
+			return false
+		}
+	}
+	return true
+}
+
+func (b *Balancer) overloaded(now time.Duration, r *request) bool {
+	b.asked.fade(now, b.pace)
+	b.value.fade(now, b.pace)
+	worth := r.class.Worth
+	if !b.set.WorthByWork && r.class.n > 0 {
+		worth /= r.class.lat
+	}
+	if t := b.tenants[r.Tenant]; t != nil && t.rate > 0 { // a second's worth of the share at once
+		t.left, t.at = min(t.left+t.rate*(now-t.at).Seconds(), max(t.rate, 1)), now
+		if t.left--; t.left < 0 {
+			t.left, worth = 0, worth*max(b.set.OverShareWorth, 0.01)
+		}
+	}
+	b.value.add(1 / worth)
+	p := 1 - (b.asked.sum*headroom+pool)/(b.asked.n+pool)
+	// What is out over the usual (answers a second times what they take) is the multiple of its usual time
+	// that a new one will take: seen before any is late.
+	usual, spare := b.flow.fade(now, b.pace).sum/float64(min(b.pace, now-b.first+1)), pool
+	if r.class.n < minSamples {
+		spare = minSamples
+	}
+	// Danger: few to spare at each of many proxies are long queues at few servers.
+	spare = max(spare*min(float64(len(b.list))/float64(max(b.set.Proxies, 1)), 1), 1)
+	// Two thirds of the aim leave room for spread. Danger of less than the cube, or of the greater alone: with
+	// much to refuse, latency stays near the aim for as long.
+	fits := (usual*float64(r.class.Aim)/1.5/max(r.class.lat, 1) + spare) / float64(b.out-b.stuck+1)
+	p = 1 - (1-max(p, 0))*min(fits*fits*fits, 1)
+	odds := p / worth / b.value.mean(1/worth, 0)
+	// Danger: with everything refused nothing is learnt, and the overload never ends.
+	return b.rng.Float64() < min(odds/(odds+1-p+1e-9), 1-trickle)
+}
+
+// Request takes a client's request.
+func (b *Balancer) Request(now time.Duration, q Request) {
+	if b.requests[q.ID] != nil {
+		return
+	}
+	c := b.classes[q.Class]
+	if c == nil {
+		b.host.Refuse(q.ID, 0)
+		return
+	}
+	if b.seq++; b.first == 0 {
+		b.first = now
+	}
+	r := &request{Request: q, seq: b.seq, class: c, deadline: now + q.Left}
+	b.requests[q.ID], b.bySeq[r.seq] = r, r
+	if b.overloaded(now, r) {
+		b.finish(r)
+		return
+	}
+	b.tend(now, r)
+}
+
+func (b *Balancer) tend(now time.Duration, r *request) {
+	if r.done || r.out > 0 {
+		return
+	}
+	if now >= r.deadline {
+		b.finish(r)
+		return
+	}
+	if s := b.candidate(now, r); s != nil {
+		b.send(now, r, s)
+		return
+	}
+	if len(r.tries) > 0 || r.deadline-now < r.Left/4 { // nowhere to go: say so while the client can still use it
+		b.finish(r)
+		return
+	}
+	b.host.SetTimer(r.seq, r.Left/8+1)
+}
+
+func (b *Balancer) candidate(now time.Duration, r *request) *server {
+	again := len(r.tries) > 0
+	if again && b.budget < 1 {
+		return nil
+	}
+	s := b.pick(now, func(s *server) bool {
+		for i := range r.tries {
+			if r.tries[i].to == s {
+				return false
+			}
+		}
+		return !b.pushed(s, now) && b.mayResend(r, s, now)
+	})
+	if s != nil && again {
+		b.budget--
+	}
+	return s
+}
+
+func (b *Balancer) send(now time.Duration, r *request, s *server) {
+	if s.inFlight == 0 {
+		s.quiet = now
+	}
+	s.inFlight++
+	s.sent.fade(now, b.set.FallTime+1).n++
+	b.out++
+	r.tries = append(r.tries, attempt{to: s, sent: now, out: true})
+	r.out++
+	b.host.Send(r.ID, s.ID, 0)
+	b.look()
+}
+
+// look has what is out looked over after a while: one timer for all, as one for each costs a busy node dear.
+func (b *Balancer) look() {
+	if b.set.ParallelTries && !b.looking {
+		b.looking = true
+		b.host.SetTimer(looksSeq, b.aim/4)
+	}
+}
+
+func (b *Balancer) lookOver(now time.Duration) {
+	b.looking = false
+	if len(b.bySeq) == 0 {
+		return
+	}
+	if b.budget >= 1 {
+		for _, seq := range slices.Sorted(maps.Keys(b.bySeq)) {
+			if r := b.bySeq[seq]; r.out > 0 {
+				b.hedge(now, r)
+			}
+		}
+	}
+	b.look()
+}
+
+func (b *Balancer) hedge(now time.Duration, r *request) {
+	if len(r.tries) > 1 || r.class.Effect == Unsafe || r.streams || now-r.tries[0].sent < r.class.patience() {
+		return
+	}
+	if s := b.candidate(now, r); s != nil {
+		b.send(now, r, s)
+	}
+}
+
+func (b *Balancer) finish(r *request) {
+	if b.mayRefuse(r) {
+		b.host.Refuse(r.ID, 0)
+	} else {
+		b.host.Fail(r.ID)
+	}
+	b.end(r)
+}
+
+// end closes a request; it is kept until its last attempt has ended, for the counters.
+func (b *Balancer) end(r *request) {
+	r.done = true
+	b.asked.n++
+	delete(b.bySeq, r.seq)
+	if r.out == 0 {
+		delete(b.requests, r.ID)
+		return
+	}
+	if b.set.MayCancel {
+		for i := range r.tries {
+			if r.tries[i].out {
+				b.host.Cancel(r.ID, i)
+			}
+		}
+	}
+}
+
+func (b *Balancer) lower(a *attempt) {
+	if !a.lowered {
+		a.lowered = true
+		a.to.inFlight--
+		b.out--
+	}
+}
+
+// Started notes that a streamed answer has begun: the client has it, and no clock runs any more.
+func (b *Balancer) Started(now time.Duration, id string, n int) {
+	r := b.requests[id]
+	if r == nil || r.done || n < 0 || n >= len(r.tries) {
+		return
+	}
+	r.streams = true
+	r.tries[n].to.quiet = now
+	if !r.class.Stream && r.tries[n].out {
+		r.begun = now
+		b.lower(&r.tries[n])
+	}
+	if b.set.MayCancel {
+		for i := range r.tries {
+			if i != n && r.tries[i].out {
+				b.host.Cancel(id, i)
+			}
+		}
+	}
+}
+
+// Outcome takes the end of an attempt.
+func (b *Balancer) Outcome(now time.Duration, o Outcome) {
+	r := b.requests[o.ID]
+	if r == nil || o.Attempt < 0 || o.Attempt >= len(r.tries) || !r.tries[o.Attempt].out {
+		return
+	}
+	a := &r.tries[o.Attempt]
+	a.out, a.proved = false, o.Result == TurnedAway || o.Result == NotConnected || o.Result == NotSent
+	b.lower(a)
+	r.out--
+	b.judge(now, r, a, o)
+	switch {
+	case r.done:
+		if r.out == 0 {
+			delete(b.requests, r.ID)
+		}
+	case o.Done:
+		at := now
+		if r.begun > 0 {
+			at = r.begun
+		}
+		if o.Result == Served && at-r.deadline+r.Left <= r.class.Aim {
+			b.asked.sum++
+			b.budget = min(b.budget+extraShare, extraBurst)
+		}
+		b.end(r)
+	case r.streams:
+	default:
+		b.tend(now, r)
+	}
+}
+
+// Gone notes that the client has left, or that its time is over.
+func (b *Balancer) Gone(_ time.Duration, id string) {
+	if r := b.requests[id]; r != nil && !r.done {
+		b.end(r)
+	}
+}
+
+// Timer takes a timer that has run out.
+func (b *Balancer) Timer(now time.Duration, token uint64) {
+	if token == asksSeq {
+		b.asking = false
+		b.host.Watch(true)
+		return
+	}
+	if token == looksSeq {
+		b.lookOver(now)
+		return
+	}
+	if r := b.bySeq[token]; r != nil { // a request that is held
+		b.tend(now, r)
+	}
+}
+
+// Probed takes what a probe found. Nothing on the ordinary path asks for one.
+func (b *Balancer) Probed(time.Duration, ProbeResult) {}
--- /dev/null
+++ b/logic/long_test.go
@@ -0,0 +1,62 @@
+package logic
+
+import (
+	"fmt"
+	"testing"
+)
+
+// A long answer is no load while it is sent, is timely by its first bytes, and leaves its server in the draws.
+func TestLongAnswersAreNoLoad(t *testing.T) {
+	b, h := start(t, settings(), oneZone(4))
+	now, refused := 10*ms, 0
+	for i := range 400 {
+		now += 10 * ms
+		h.now = now
+		id := fmt.Sprint("r", i)
+		b.Request(now, Request{ID: id, Class: "safe", Left: 1000 * ms})
+		switch a := h.take(); {
+		case len(a) == 1 && a[0].what == "refuse":
+			refused++
+			continue
+		case len(a) != 1 || a[0].what != "send":
+			t.Fatalf("%s: %v", id, a)
+		}
+		if i%5 == 0 { // one in five has begun after 5 ms and is never done in this test
+			b.Started(now+5*ms, id, 0)
+			continue
+		}
+		b.Outcome(now+5*ms, Outcome{ID: id, Result: Served, Took: 5 * ms, Done: true})
+	}
+	if refused > 0 {
+		t.Errorf("%d of 400 were refused by idle servers", refused)
+	}
+	for _, s := range b.list {
+		if s.inFlight != 0 || b.ejected(s, now) {
+			t.Errorf("%s: %d in flight, ejected %v", s.ID, s.inFlight, b.ejected(s, now))
+		}
+	}
+	sum := b.asked.sum
+	for i := 0; i < 400; i += 5 {
+		b.Outcome(now+5*ms, Outcome{ID: fmt.Sprint("r", i), Result: Served, Took: 5 * ms, Done: true})
+	}
+	if b.out != 0 || len(b.requests) != 0 || b.asked.sum < sum+79 {
+		t.Errorf("%d out, %d requests, %v timely of 80", b.out, len(b.requests), b.asked.sum-sum)
+	}
+}
+
+// At a class that streams, an answer is work for as long as it lasts.
+func TestStreamsAreLoad(t *testing.T) {
+	set := settings()
+	set.Classes[0].Stream = true
+	b, h := start(t, set, oneZone(1))
+	b.Request(ms, Request{ID: "r", Class: "safe", Left: 1000 * ms})
+	h.take()
+	b.Started(2*ms, "r", 0)
+	if b.out != 1 || b.list[0].inFlight != 1 {
+		t.Errorf("%d out, %d in flight", b.out, b.list[0].inFlight)
+	}
+	b.Outcome(900*ms, Outcome{ID: "r", Result: Served, Took: ms, Done: true})
+	if b.out != 0 || b.list[0].inFlight != 0 {
+		t.Errorf("after it: %d out, %d in flight", b.out, b.list[0].inFlight)
+	}
+}
--- /dev/null
+++ b/logic/pick_test.go
@@ -0,0 +1,319 @@
+package logic
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// ask sends one request and gives the server it went to.
+func ask(t *testing.T, b *Balancer, h *recorder, now time.Duration, id, class string) string {
+	t.Helper()
+	h.now = now
+	b.Request(now, Request{ID: id, Class: class, Left: time.Second})
+	for _, a := range h.take() {
+		if a.what == "send" {
+			return a.server
+		}
+	}
+	return ""
+}
+
+func end(b *Balancer, now time.Duration, id string, res Result, took time.Duration) {
+	b.Outcome(now, Outcome{ID: id, Result: res, Took: took, Done: res == Served})
+}
+
+func oneZone(n int) []Server {
+	l := fleet(n)
+	for i := range l {
+		l[i].Zone = "za"
+	}
+	return l
+}
+
+// The lower counter wins: from outside, the server with more in flight is never taken while it meets a lighter one.
+func TestFewerInFlightWins(t *testing.T) {
+	b, h := start(t, settings(), oneZone(2))
+	busy := ask(t, b, h, 0, "first", "once")
+	for i := range 50 {
+		id := fmt.Sprint("r", i)
+		got := ask(t, b, h, ms, id, "once")
+		if got == busy {
+			t.Fatalf("request %d went to the busier of two", i)
+		}
+		end(b, ms, id, Served, 10*ms) // lowers it again
+	}
+}
+
+// Every end of an attempt lowers the counter.
+func TestEveryEndLowersTheCounter(t *testing.T) {
+	for _, res := range []Result{Served, Errored, TurnedAway, TimedOut, NotConnected, ConnLost, Cancelled, NotSent} {
+		b, h := start(t, settings(), oneZone(1))
+		ask(t, b, h, 0, "r", "once")
+		if b.list[0].inFlight != 1 {
+			t.Fatalf("result %d: a send does not raise the counter", res)
+		}
+		end(b, ms, "r", res, ms)
+		end(b, ms, "r", res, ms) // a second report of the same attempt is passed over
+		b.Gone(ms, "no such request")
+		if b.list[0].inFlight != 0 {
+			t.Errorf("result %d leaves %d in flight", res, b.list[0].inFlight)
+		}
+	}
+}
+
+// Draws follow the weights: with one request at a time, a server of weight 3 among ones of 1 is taken more often
+// than they are, and no server is left out.
+func TestDrawsFollowWeights(t *testing.T) {
+	l := oneZone(4)
+	l[0].Weight = 3
+	b, _ := start(t, settings(), l)
+	b.refresh(0)
+	n := map[string]int{}
+	for range 6000 {
+		n[b.draw(func(*server) bool { return true }, nil).ID]++
+	}
+	for id, want := range map[string]int{"s0": 3000, "s1": 1000, "s2": 1000, "s3": 1000} {
+		if d := n[id] - want; d < -200 || d > 200 {
+			t.Errorf("%s drawn %d times, want about %d", id, n[id], want)
+		}
+	}
+}
+
+func TestListNews(t *testing.T) {
+	set := settings()
+	set.Proxies = 1                                          // so that nothing is refused at one server
+	b, h := start(t, set, append(oneZone(3), oneZone(1)...)) // s0 twice
+	if len(b.list) != 3 {
+		t.Fatalf("%d servers, want 3: the same one listed twice counts once", len(b.list))
+	}
+	b.Fleet(ms, FleetUpdate{Kind: FleetChanges, Servers: []Server{{ID: "s0", Zone: "za", State: Draining, Weight: 1}, {ID: "s1", State: Removed}}})
+	for i := range 8 {
+		if got := ask(t, b, h, ms, fmt.Sprint("r", i), "once"); got != "s2" {
+			t.Fatalf("request %d sent to %q, only s2 is ready", i, got)
+		}
+	}
+	b.Fleet(2*ms, FleetUpdate{Kind: FleetAll, Servers: []Server{{ID: "s9", Zone: "za", Weight: 1}}})
+	if got := ask(t, b, h, 2*ms, "x", "once"); got != "s9" || b.servers["s9"].inFlight != 1 {
+		t.Errorf("sent to %q after a whole list that names s9 only", got)
+	}
+}
+
+func TestBadWeightsKeepServersDrawable(t *testing.T) {
+	l := oneZone(3)
+	l[0].Weight, l[1].Weight = 0, -4
+	b, h := start(t, settings(), l)
+	seen := map[string]bool{}
+	for i := range 200 {
+		id := fmt.Sprint("r", i)
+		seen[ask(t, b, h, ms, id, "safe")] = true
+		end(b, ms, id, Served, 10*ms)
+	}
+	if len(seen) != 3 {
+		t.Errorf("only %v were used", seen)
+	}
+}
+
+// An empty list holds a request, then refuses it while the client can still use the answer.
+func TestEmptyListHoldsThenRefuses(t *testing.T) {
+	b, h := start(t, settings(), nil)
+	if got := ask(t, b, h, 0, "r", "once"); got != "" {
+		t.Fatal("sent to", got)
+	}
+	for range 20 {
+		at, ok := h.timers[1]
+		if !ok {
+			t.Fatal("held without a timer")
+		}
+		h.now = at
+		delete(h.timers, 1)
+		b.Timer(at, 1)
+		if a := h.take(); len(a) > 0 {
+			if a[0].what != "refuse" || at >= time.Second {
+				t.Errorf("%v at %v", a, at)
+			}
+			return
+		}
+	}
+	t.Error("never ended")
+}
+
+func TestUnknownClassIsRefused(t *testing.T) {
+	b, h := start(t, settings(), oneZone(2))
+	b.Request(0, Request{ID: "r", Class: "nobody", Left: time.Second})
+	if a := h.take(); len(a) != 1 || a[0].what != "refuse" {
+		t.Errorf("%v", a)
+	}
+}
+
+// A server that fails at once empties its counter and would win its pairs.
+func TestFailingServerIsEjected(t *testing.T) {
+	b, h := start(t, settings(), oneZone(6))
+	bad := 0
+	for i := range 400 {
+		id, now := fmt.Sprint("r", i), time.Duration(i)*5*ms
+		if ask(t, b, h, now, id, "once") == "s3" {
+			bad++
+			end(b, now+ms, id, ConnLost, ms)
+		} else {
+			end(b, now+ms, id, Served, 10*ms)
+		}
+	}
+	if bad > 20 {
+		t.Errorf("the failing server got %d of 400", bad)
+	}
+}
+
+// When all fail, nobody is ejected.
+func TestPanicThreshold(t *testing.T) {
+	b, h := start(t, settings(), oneZone(4))
+	for i := range 40 {
+		now := time.Duration(i) * ms
+		if ask(t, b, h, now, fmt.Sprint("r", i), "safe") == "" {
+			continue // refused by the throttle
+		}
+		end(b, now, fmt.Sprint("r", i), ConnLost, ms)
+		h.take()
+	}
+	b.dirty = true
+	if b.refresh(40 * ms); len(b.ready) != 4 {
+		t.Errorf("%d of 4 are ready", len(b.ready))
+	}
+}
+
+// A live weight is highest just after a start; a cold server must still get little.
+func TestColdServerGetsLittle(t *testing.T) {
+	for _, source := range []WeightSource{WeightNominal, WeightLive} {
+		set := settings()
+		set.Weights = source
+		l := oneZone(5)
+		l[0].Since, l[0].Weight = 10*time.Second, 9
+		for i := 1; i < 5; i++ {
+			l[i].Weight = 1
+		}
+		b, h := start(t, set, l)
+		cold := 0
+		for i := range 1000 {
+			id, now := fmt.Sprint("r", i), 10*time.Second+time.Duration(i)*ms/10
+			if ask(t, b, h, now, id, "once") == "s0" {
+				cold++
+			}
+			end(b, now, id, Served, 10*ms)
+		}
+		// A fifth of the fleet with 0.3 of its capacity: its even part is 60 of 1000.
+		if cold > 90 {
+			t.Errorf("weights %d: the cold server got %d of 1000", source, cold)
+		}
+	}
+}
+
+// With everything late the throttle refuses most, never all, and lets go when answers are timely again.
+func TestThrottleActsAndRecovers(t *testing.T) {
+	b, h := start(t, settings(), oneZone(4))
+	now := time.Duration(0)
+	play := func(n int, took time.Duration) (sent int) {
+		for i := range n {
+			now += 5 * ms
+			id := fmt.Sprint(now)
+			if ask(t, b, h, now, id, "safe") != "" {
+				sent++
+				r := b.requests[id]
+				r.deadline -= took // as if it had come that long ago
+				b.Outcome(now, Outcome{ID: id, Result: Served, Took: took, Done: true})
+			}
+			_ = i
+		}
+		return sent
+	}
+	play(400, 20*ms)
+	play(400, 500*ms)
+	if sent := play(400, 500*ms); sent < 10 || sent > 200 {
+		t.Errorf("all late: %d of 400 sent", sent)
+	}
+	play(2000, 20*ms)
+	if sent := play(400, 20*ms); sent < 390 {
+		t.Errorf("timely again: only %d of 400 sent", sent)
+	}
+}
+
+// The names of zones, kinds, classes, tenants and servers decide nothing.
+func TestNamesDecideNothing(t *testing.T) {
+	run := func(p string) (log []act) {
+		set := settings()
+		set.Zone = p + set.Zone
+		set.Zones = []string{p + "za", p + "zb"}
+		for i := range set.Classes {
+			set.Classes[i].Name = p + set.Classes[i].Name
+		}
+		set.Tenants = []Tenant{{Name: p + "t", Rate: 40}, {Name: p + "u", Rate: 20}}
+		l := fleet(8)
+		for i := range l {
+			l[i].ID, l[i].Zone, l[i].Kind = p+l[i].ID, p+l[i].Zone, p+[]string{"k", "l"}[i%3%2]
+		}
+		b, h := start(t, set, l)
+		for i := range 800 {
+			now := time.Duration(i) * 3 * ms
+			h.now = now
+			id := fmt.Sprint("r", i)
+			b.Request(now, Request{ID: id, Class: set.Classes[i%3].Name, Tenant: set.Tenants[i%2].Name, Left: time.Second})
+			if i >= 10 {
+				res := Result(i * 7 % 11 % 8)
+				b.Outcome(now, Outcome{ID: fmt.Sprint("r", i-10), Result: res, Took: 30 * ms, Done: res == Served})
+			}
+			for _, a := range h.take() {
+				if a.server != "" {
+					a.server = a.server[len(p):]
+				}
+				log = append(log, a)
+			}
+		}
+		return log
+	}
+	one, two := run(""), run("zz-")
+	if fmt.Sprint(one) != fmt.Sprint(two) {
+		t.Error("renaming changed the actions")
+	}
+	if len(one) < 800 {
+		t.Errorf("only %d actions: the run shows nothing", len(one))
+	}
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{10, 100, 1000, 10000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			lb, _ := New(settings(), 1, &recorder{})
+			lb.Fleet(0, FleetUpdate{Kind: FleetRemembered, Servers: fleet(n)})
+			any := func(*server) bool { return true }
+			b.ReportAllocs()
+			for b.Loop() {
+				lb.pick(0, any)
+			}
+		})
+	}
+}
+
+// A cold server's budget counts sends that end at once too, which no counter shows.
+func TestColdServerHasASendBudget(t *testing.T) {
+	l := oneZone(4)
+	l[0].Since = 10 * time.Second
+	b, _ := start(t, settings(), l)
+	now := 10*time.Second + ms
+	for range 20 {
+		for _, s := range b.list[1:] {
+			s.sent.fade(now, b.set.FallTime+1).n++
+		}
+	}
+	cold := b.servers["s0"]
+	b.refresh(now)
+	n := 0
+	for ; !b.pushed(cold, now) && n < 100; n++ {
+		cold.sent.fade(now, b.set.FallTime+1).n++
+	}
+	// Warm servers had 20 each; 0.3 of that times half of 2.5 is 7.5, a little less as it dilutes the usual.
+	if n < 5 || n > 9 {
+		t.Errorf("budget of %d sends", n)
+	}
+	if b.pushed(b.list[1], now) {
+		t.Error("a warm server has a budget")
+	}
+}
--- /dev/null
+++ b/logic/state.go
@@ -0,0 +1,92 @@
+// The records that logic.go keeps. Nothing is decided here.
+
+package logic
+
+import (
+	"math"
+	"time"
+)
+
+type server struct {
+	Server
+	home     bool
+	inFlight int           // own attempts out
+	quiet    time.Duration // since when it has answered nothing while attempts were out
+	slow     stat          // latency, as a multiple of its class's mean
+	recent   stat          // the same over a shorter time
+	sent     stat          // sends over the time in which a cold server falls over
+	strikes  int           // failures in a row
+	trips    int           // ejections in a row
+	until    time.Duration // ejected until then
+	trial    bool
+	weight   float64
+	place    float64
+}
+
+type attempt struct {
+	to     *server
+	sent   time.Duration
+	out    bool
+	proved bool
+
+	lowered bool // out of the counters
+}
+
+type request struct {
+	Request
+	seq      uint64
+	class    *class
+	deadline time.Duration
+	tries    []attempt
+	out      int
+	done     bool // has its final answer
+	streams  bool
+	begun    time.Duration // when a long answer to a class that does not stream began
+}
+
+type class struct {
+	Class
+	lat float64 // mean latency of served attempts and its mean deviation
+	n   float64
+}
+
+// patience is how long an answer may take before it is overdue.
+func (c *class) patience() time.Duration {
+	if c.n < minSamples {
+		return c.Deadline
+	}
+	return time.Duration(c.lat + overdue)
+}
+
+type tenant struct {
+	rate, left float64
+	at         time.Duration
+}
+
+// stat is a mean that forgets.
+type stat struct {
+	sum, n float64
+	at     time.Duration
+}
+
+func (s *stat) fade(now, life time.Duration) *stat {
+	if now > s.at {
+		f := math.Exp(-float64(now-s.at) / float64(life))
+		s.sum, s.n, s.at = s.sum*f, s.n*f, now
+	}
+	return s
+}
+
+func (s *stat) add(x float64) { s.sum, s.n = s.sum+x, s.n+1 }
+
+func (s *stat) mean(prior, k float64) float64 { return (s.sum + prior*k) / (s.n + k) }
+
+// pooled is the stat of a name, made where it is lacking and faded to now.
+func pooled(m map[string]*stat, name string, now, life time.Duration) *stat {
+	s := m[name]
+	if s == nil {
+		s = &stat{at: now}
+		m[name] = s
+	}
+	return s.fade(now, life)
+}
--- /dev/null
+++ b/logic/subset_test.go
@@ -0,0 +1,127 @@
+package logic
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// Danger: proxies times servers. Each proxy draws from a part of a zone; over all proxies each server is in
+// about as many parts, and a lost server's place is taken by the next.
+func TestSubsetIsEven(t *testing.T) {
+	for _, c := range []struct{ proxies, first, step, servers int }{
+		{40, 0, 1, 80}, {200, 0, 3, 60}, {30, 500, 1, 130}, {120, 0, 5, 40}, {5, 0, 1, 12},
+	} {
+		in := map[string]int{}
+		size := min(subset, c.servers)
+		for i := range c.proxies {
+			set := settings()
+			set.Me, set.Proxies = c.first+c.step*i, c.first+c.step*c.proxies
+			b, _ := start(t, set, oneZone(c.servers))
+			b.refresh(time.Second)
+			if len(b.ready) != size {
+				t.Fatalf("%v: proxy %d draws from %d servers, want %d", c, i, len(b.ready), size)
+			}
+			for _, s := range b.ready {
+				in[s.ID]++
+			}
+			lost := b.ready[0].ID
+			b.Fleet(2*time.Second, FleetUpdate{Kind: FleetChanges, Servers: []Server{{ID: lost, State: Removed}}})
+			b.refresh(2 * time.Second)
+			if want := min(subset, c.servers-1); len(b.ready) != want || b.ready[0].ID == lost {
+				t.Fatalf("%v: %d servers after one is lost, want %d", c, len(b.ready), want)
+			}
+		}
+		mean := float64(c.proxies*size) / float64(c.servers)
+		for i := range c.servers {
+			id := oneZone(c.servers)[i].ID
+			if n := float64(in[id]); n < 0.6*mean-1 || n > 1.4*mean+1 {
+				t.Errorf("%v: server %s is drawn from by %v proxies, the mean is %.1f", c, id, n, mean)
+			}
+		}
+	}
+}
+
+// A proxy that suddenly carries a large part of all traffic must not push it onto a few servers.
+func TestSubsetGrowsWithWork(t *testing.T) {
+	set := settings()
+	set.Proxies = 100
+	b, h := start(t, set, oneZone(90))
+	used := map[string]bool{}
+	for i := range 300 {
+		b.Request(time.Duration(i+1)*time.Second/10, Request{ID: fmt.Sprint(i), Class: set.Classes[0].Name, Left: time.Hour})
+	}
+	for _, a := range h.take() {
+		if a.what == "send" {
+			used[a.server] = true
+		}
+	}
+	if b.refresh(time.Hour); len(used) <= 2*subset {
+		t.Errorf("%d attempts out went to %d servers only", b.out, len(used))
+	}
+}
+
+// Danger: what each of many proxies holds to spare is a queue at few servers.
+func TestManyProxiesSpareLess(t *testing.T) {
+	sent := map[int]int{}
+	for _, proxies := range []int{1, 100} {
+		set := settings()
+		set.Proxies = proxies
+		b, h := start(t, set, oneZone(20))
+		for i := range 40 {
+			b.Request(time.Second+time.Duration(i), Request{ID: fmt.Sprint(i), Class: set.Classes[0].Name, Left: time.Second})
+		}
+		for _, a := range h.take() {
+			if a.what == "send" {
+				sent[proxies]++
+			}
+		}
+	}
+	if sent[100] == 0 || 4*sent[100] > 3*sent[1] {
+		t.Errorf("a first burst: one proxy sends %d, each of 100 sends %d", sent[1], sent[100])
+	}
+}
+
+// Danger: a throttle in proportion needs latency near the aim to refuse a large excess.
+func TestLatencyAtTheAimRefusesMost(t *testing.T) {
+	for _, c := range []struct {
+		latency     time.Duration
+		least, most float64 // part refused
+	}{{20 * ms, 0, 0.05}, {50 * ms, 0, 0.1}, {99 * ms, 0.3, 0.9}} {
+		set := settings()
+		b, h := start(t, set, oneZone(8))
+		asked, refused := 0, 0
+		type sent struct {
+			id   string
+			at   time.Duration
+			took time.Duration
+		}
+		var out []sent
+		for now := time.Second; now < 6*time.Second; now += ms {
+			took := 10 * ms // quick at first
+			if now > 3*time.Second {
+				took = c.latency
+			}
+			for len(out) > 0 && now-out[0].at >= out[0].took {
+				end(b, now, out[0].id, Served, out[0].took)
+				out = out[1:]
+			}
+			h.take()
+			id := fmt.Sprint(now)
+			b.Request(now, Request{ID: id, Class: set.Classes[0].Name, Left: time.Second})
+			for _, a := range h.take() {
+				if a.what == "send" {
+					out = append(out, sent{a.id, now, took})
+				} else if a.what == "refuse" && now > 4*time.Second {
+					refused++
+				}
+			}
+			if now > 4*time.Second {
+				asked++
+			}
+		}
+		if part := float64(refused) / float64(asked); part < c.least || part > c.most {
+			t.Errorf("latency %v of an aim of 100ms: %.2f refused, want %v to %v", c.latency, part, c.least, c.most)
+		}
+	}
+}
