--- a/internal/backend/attempt_test.go
+++ b/internal/backend/attempt_test.go
@@ -236,6 +236,36 @@
 	}
 }
 
+// Connections that come back side by side all go to the pool, also while a sweep is scheduled.
+func TestAllConnectionsAreKept(t *testing.T) {
+	fakes.Leaks(t)
+	const n = 3
+	came, goOn := make(chan struct{}, n), make(chan struct{})
+	b := fakes.NewBackend(t, func(fakes.Seen, int) string { came <- struct{}{}; <-goOn; return ok })
+	p := newPool(t, Options{}, 9)
+	up := p.Upstream(b.Addr, 0)
+	for range 2 {
+		ends := make(chan Reply, n)
+		for range n {
+			go func() { ends <- do(up, get("/get")) }()
+		}
+		for range n {
+			fakes.Within(t, "a request", came)
+		}
+		for range n {
+			goOn <- struct{}{}
+		}
+		for range n {
+			if r := fakes.Within(t, "an end", ends); r.Result != logic.Served {
+				t.Errorf("result %d", r.Result)
+			}
+		}
+	}
+	if b.Conns() != n || len(up.idle) != n || p.budget.Used() != n {
+		t.Errorf("%d connections made, %d idle, %d descriptors held; want %d of each", b.Conns(), len(up.idle), p.budget.Used(), n)
+	}
+}
+
 type brokenWriter struct{}
 
 func (brokenWriter) Write([]byte) (int, error) { return 0, errors.New("gone") }
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -198,14 +198,16 @@
 	return ok && err == nil
 }
 
+// keep puts the connection in the pool, or closes it where there is none to go back to. Danger: one that did
+// neither would hold its descriptor, and a place at the backend, for good.
 func (c *conn) keep() {
 	u, p := c.up, c.up.pool
 	c.since = time.Now()
 	p.mu.Lock()
 	kept := !u.gone && !p.closed
 	if kept {
+		u.idle = append(u.idle, c)
 		if !p.sweeping {
-			u.idle = append(u.idle, c)
 			p.sweeping = true
 			time.AfterFunc(p.sweepEvery(), p.sweep)
 		}
