pool: give the descriptor back when a dial fails

dial took a descriptor from the budget and returned on an error without Give, so each refused or timed-out connection to a backend that is down cost one for good; when the budget is empty every answer closes its client and every attempt fails locally. Other exits of dial and of attempts were read: each drops or keeps its connection. The test fails without the change (one descriptor held after each kind of failure).

--- a/internal/backend/attempt_test.go
+++ b/internal/backend/attempt_test.go
@@ -236,6 +236,20 @@
 	}
 }
 
+// A connection that is refused, or never comes up, holds no descriptor afterwards.
+func TestFailedDialGivesBack(t *testing.T) {
+	fakes.Leaks(t)
+	for name, addr := range map[string]string{"refused": fakes.Refusing(t), "never up": fakes.Full(t)} {
+		p := newPool(t, Options{ConnectTimeout: 20 * time.Millisecond}, 9)
+		if r := do(p.Upstream(addr, 0), get("/get")); r.Result != logic.NotConnected {
+			t.Errorf("%s: result %d", name, r.Result)
+		}
+		if n := p.budget.Used(); n != 0 {
+			t.Errorf("%s: %d descriptors are held", name, n)
+		}
+	}
+}
+
 // Connections that come back side by side all go to the pool, also while a sweep is scheduled.
 func TestAllConnectionsAreKept(t *testing.T) {
 	fakes.Leaks(t)
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -281,6 +281,7 @@
 	defer cancel()
 	nc, err := p.dialer.DialContext(ctx, "tcp", u.addr)
 	if err != nil {
+		p.budget.Give() // or a backend that is down eats the descriptors, one for each try
 		return nil, err
 	}
 	c := &conn{TCPConn: nc.(*net.TCPConn), up: u, left: -1}
