logic: bring back the mean deviation of a class's latency

So each answer over the mean got a second copy as long as the budget lasted, and a server silent for twice the mean was out of the draws as hung. Both tests fail with the bare numbers.

--- a/logic/hedge_test.go
+++ b/logic/hedge_test.go
@@ -45,3 +45,35 @@
 		}
 	}
 }
+
+// A copy waits for an answer that is late by the class's own spread, not by its mean: the tail of usual answers
+// is no reason for one, as copies eat the retry budget.
+func TestSecondCopyWaitsForTheSpread(t *testing.T) {
+	b, h := known(t, settings())
+	if c := b.classes["safe"]; c.dev < 1e6 || c.dev > 3e6 {
+		t.Fatalf("mean deviation %v ns, want about 2 ms", c.dev)
+	}
+	b.Request(700*ms, Request{ID: "r", Class: "safe", Left: 1000 * ms})
+	first := h.take()
+	b.Timer(725*ms, looksSeq) // two and a half times the mean, but within 14 deviations
+	if a := h.take(); len(a) != 0 {
+		t.Errorf("after 25 ms: %v", a)
+	}
+	b.Timer(750*ms, looksSeq)
+	if a := h.take(); len(a) != 1 || a[0].what != "send" || a[0].server == first[0].server {
+		t.Errorf("after 50 ms: %v", a)
+	}
+}
+
+// A server is held to hang by the spread as well: twice the mean is no silence to speak of.
+func TestUsualSilenceEjectsNobody(t *testing.T) {
+	b, h := known(t, settings())
+	b.Request(700*ms, Request{ID: "r", Class: "once", Left: 1000 * ms})
+	s := b.servers[h.take()[0].server]
+	if b.ejected(s, 725*ms) {
+		t.Error("out after 25 ms, where answers take 10 give or take 2")
+	}
+	if !b.ejected(s, 760*ms) {
+		t.Error("in after 60 ms")
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -44,11 +44,12 @@
 	extraBurst = 3.0
 	panicShare = 0.5
 	minSamples = 10.0
-	headroom   = 1.3 // sends over timely answers: room to find out that an overload is over
-	trickle    = 0.1 // of what would be refused goes through, to learn that an overload is over
-	overdue    = 14.0
-	subset     = 16 // servers of a zone drawn from at the least: one of them lost is within headroom
-	asksSeq    = 0  // timer token of the list
+	headroom   = 1.3  // sends over timely answers: room to find out that an overload is over
+	trickle    = 0.1  // of what would be refused goes through, to learn that an overload is over
+	overdue    = 14.0 // mean deviations over the mean, after which a copy is made
+	silent     = 4.0  // mean deviations over the mean, twice which a server may answer nothing
+	subset     = 16   // servers of a zone drawn from at the least: one of them lost is within headroom
+	asksSeq    = 0    // timer token of the list
 	looksSeq   = math.MaxInt64
 )
 
@@ -277,7 +278,7 @@
 	var most float64
 	for i := range b.set.Classes {
 		if c := b.classes[b.set.Classes[i].Name]; c.n >= minSamples {
-			most = max(most, c.lat+4)
+			most = max(most, c.lat+silent*c.dev)
 		}
 	}
 	if most == 0 {
@@ -288,18 +289,14 @@
 
 func (b *Balancer) judge(now time.Duration, r *request, a *attempt, o Outcome) {
 	s, c := a.to, r.class
-	loss, silent := 1.0, s.quiet <= a.sent
+	loss, mute := 1.0, s.quiet <= a.sent
 	if o.Result != TimedOut && o.Result != Cancelled {
 		s.quiet = now
 	}
 	switch o.Result {
 	case Served:
 		took := float64(o.Took)
-		if c.n++; c.n <= minSamples {
-			c.lat += (took - c.lat) / c.n
-		} else {
-			c.lat += (took - c.lat) / 50
-		}
+		c.learn(took)
 		b.flow.add(c.lat)
 		loss = took / float64(c.Aim)
 		loss = min(loss*loss, 1)
@@ -314,7 +311,7 @@
 			return
 		}
 		b.observe(now, s, 4)
-		if o.Result == TimedOut && !silent {
+		if o.Result == TimedOut && !mute {
 			break
 		}
 		if s.strikes++; s.strikes >= 2 || s.trial || o.Result == NotConnected {
--- a/logic/state.go
+++ b/logic/state.go
@@ -46,16 +46,30 @@
 
 type class struct {
 	Class
-	lat float64 // mean latency of served attempts and its mean deviation
-	n   float64
+	lat, dev float64 // mean latency of served attempts and its mean deviation
+	n        float64
 }
 
-// patience is how long an answer may take before it is overdue.
+// learn takes the latency of a served attempt.
+func (c *class) learn(took float64) {
+	c.n++
+	k := 50.0
+	if c.n <= minSamples {
+		k = c.n
+	}
+	if c.n > 1 { // from the first alone there is no deviation
+		c.dev += (math.Abs(took-c.lat) - c.dev) / k
+	}
+	c.lat += (took - c.lat) / k
+}
+
+// patience is how long an answer may take before it is overdue. Danger: latency has a long tail. A bound that
+// does not grow with the spread calls every other answer overdue, and copies eat the retry budget.
 func (c *class) patience() time.Duration {
 	if c.n < minSamples {
 		return c.Deadline
 	}
-	return time.Duration(c.lat + overdue)
+	return time.Duration(c.lat + overdue*c.dev)
 }
 
 type tenant struct {
