backend: report a local shortage as not sent, not as a failed connection

An attempt for which no descriptor was left (or no address, or the kernel lacked something) ended as NotConnected, which ejects a healthy backend at once; a node short of descriptors so put its whole fleet out, one after the other. NotSent exists for it and proves as much. In the module NotSent no longer counts as a sign of life from the server. Tests fail without the change.

--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -131,6 +131,8 @@
 		case errors.As(err, &timeout) && timeout.Timeout() && !time.Now().Before(a.deadline):
 			// It was the client's time that ran out: that says nothing against the backend.
 			return Reply{Result: logic.TimedOut}
+		case local(err):
+			return Reply{Result: logic.NotSent}
 		}
 		return Reply{Result: logic.NotConnected}
 	}
--- a/internal/backend/attempt_test.go
+++ b/internal/backend/attempt_test.go
@@ -236,6 +236,24 @@
 	}
 }
 
+// What this node lacks says nothing against a backend.
+func TestLocalShortageIsNotSent(t *testing.T) {
+	fakes.Leaks(t)
+	b := fakes.NewBackend(t, func(fakes.Seen, int) string { return ok })
+	p := newPool(t, Options{}, 2)
+	for p.budget.Used() < p.budget.Limit() {
+		p.budget.Take()
+	}
+	for name, up := range map[string]*Upstream{"no descriptor": p.Upstream(b.Addr, 0), "no address": p.Nowhere()} {
+		if r := do(up, get("/get")); r.Result != logic.NotSent {
+			t.Errorf("%s: result %d", name, r.Result)
+		}
+	}
+	if n := b.Conns(); n != 0 || p.budget.Used() != p.budget.Limit() {
+		t.Errorf("%d connections made, %d descriptors held", n, p.budget.Used())
+	}
+}
+
 // A connection that is refused, or never comes up, holds no descriptor afterwards.
 func TestFailedDialGivesBack(t *testing.T) {
 	fakes.Leaks(t)
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -97,7 +97,7 @@
 	return p
 }
 
-// Nowhere is a backend that the node has no address for: attempts find it not connected.
+// Nowhere is a backend that the node has no address for: nothing is sent to it.
 func (p *Pool) Nowhere() *Upstream { return &Upstream{pool: p, gone: true} }
 
 // Upstream adds a backend that started at since.
@@ -265,6 +265,18 @@
 	errNoAddress    = errors.New("the backend is not on the list")
 )
 
+// local tells whether a dial failed for want of something of this node's. Danger: taken for a backend that does
+// not let itself be connected to, a shortage here has healthy backends put out of the draws.
+func local(err error) bool {
+	for _, e := range []error{errNoDescriptor, errNoAddress, syscall.EMFILE, syscall.ENFILE, syscall.EADDRNOTAVAIL,
+		syscall.ENOBUFS, syscall.ENOMEM} {
+		if errors.Is(err, e) {
+			return true
+		}
+	}
+	return false
+}
+
 func (u *Upstream) dial(ctx context.Context, deadline time.Time) (*conn, error) {
 	p := u.pool
 	if u.addr == "" {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -290,8 +290,8 @@
 func (b *Balancer) judge(now time.Duration, r *request, a *attempt, o Outcome) {
 	s, c := a.to, r.class
 	loss, mute := 1.0, s.quiet <= a.sent
-	if o.Result != TimedOut && o.Result != Cancelled {
-		s.quiet = now
+	if o.Result != TimedOut && o.Result != Cancelled && o.Result != NotSent {
+		s.quiet = now // it has said something
 	}
 	switch o.Result {
 	case Served:
--- a/logic/pick_test.go
+++ b/logic/pick_test.go
@@ -164,6 +164,27 @@
 	}
 }
 
+// What was not sent says nothing of the server, neither that it is out of order nor that it is alive.
+func TestNotSentSaysNothing(t *testing.T) {
+	b, h := start(t, settings(), oneZone(1))
+	s := b.list[0]
+	for i := range 2 {
+		id := fmt.Sprint("r", i)
+		ask(t, b, h, ms, id, "safe")
+		end(b, 9*ms, id, NotSent, 0)
+		if b.ejected(s, 9*ms) || s.strikes != 0 || s.recent.n != 0 {
+			t.Fatalf("out after %d that were not sent", i+1)
+		}
+	}
+	b.asked = stat{} // the throttle is not what is tested
+	if ask(t, b, h, 10*ms, "silent", "safe") == "" || ask(t, b, h, 20*ms, "unsent", "safe") == "" {
+		t.Fatal("refused")
+	}
+	if end(b, 30*ms, "unsent", NotSent, 0); s.quiet != 10*ms {
+		t.Errorf("silent since %v", s.quiet)
+	}
+}
+
 // When all fail, nobody is ejected.
 func TestPanicThreshold(t *testing.T) {
 	b, h := start(t, settings(), oneZone(4))
