arrowhitch: reread the configuration on SIGHUP and move to its discovery

The signal was not handled. Now the file is read anew and the client of discovery moves to the address it names: the old watch ends at once, the whole list is asked for at the new one, and the list and all service stay as they are meanwhile. A file that cannot be used is a line in the log and changes nothing. At the start an unusable field is named.

--- a/cmd/arrowhitch/main.go
+++ b/cmd/arrowhitch/main.go
@@ -62,15 +62,45 @@
 			*to = os.Getenv(name)
 		}
 	}
+	return c, c.check()
+}
+
+// check names the field that cannot be used, if any.
+func (c *config) check() error {
+	for name, addr := range map[string]string{"listen": c.Listen, "discovery": c.Discovery} {
+		if addr == "" {
+			return fmt.Errorf("the configuration's %s is missing", name)
+		}
+		if _, _, err := net.SplitHostPort(addr); err != nil {
+			return fmt.Errorf("the configuration's %s: %w", name, err)
+		}
+	}
 	switch {
-	case c.Listen == "":
-		err = errors.New("the configuration has no listen address")
-	case c.Discovery == "":
-		err = errors.New("the configuration has no discovery address")
+	case c.Limits.Cores < 0:
+		return fmt.Errorf("the configuration's limits.cores: %v is negative", c.Limits.Cores)
+	case c.Limits.MemoryMB < 0:
+		return fmt.Errorf("the configuration's limits.memory_mb: %d is negative", c.Limits.MemoryMB)
+	case c.Limits.Sockets < 0 || c.Limits.Sockets > 0 && c.Limits.Sockets <= 2*spareSockets:
+		return fmt.Errorf("the configuration's limits.sockets: %d leaves none for clients and backends", c.Limits.Sockets)
 	case c.Settings == nil:
-		err = errors.New("the configuration has no settings")
+		return errors.New("the configuration's settings is missing")
 	}
-	return c, err
+	return nil
+}
+
+// reload reads the file anew and moves news to the address of discovery that it names. Nothing else of it is taken
+// over before the next start. A file that cannot be used changes nothing.
+func reload(news *discovery.Client) error {
+	c, err := load()
+	if err != nil {
+		return err
+	}
+	if _, err := c.Settings.Settings(); err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	news.Move(c.Discovery)
+	slog.Info("the configuration was read anew", "discovery", c.Discovery)
+	return nil
 }
 
 // bound fits the runtime into the limits.
@@ -86,6 +116,8 @@
 }
 
 func run() error {
+	hup := make(chan os.Signal, 1) // first of all, as it would end the process where nobody listens for it
+	signal.Notify(hup, syscall.SIGHUP)
 	c, err := load()
 	if err != nil {
 		return err
@@ -122,13 +154,22 @@
 	if err != nil {
 		return fmt.Errorf("listening: %w", err)
 	}
-	if err := n.Start(discovery.New(c.Discovery, !settings.Ask, n.Fleet), c.Known); err != nil {
+	news := discovery.New(c.Discovery, !settings.Ask, n.Fleet)
+	if err := n.Start(news, c.Known); err != nil {
 		slog.Warn("the known list is of no use", "err", err)
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	go n.Serve(l)
-	<-ctx.Done()
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-hup:
+			if err := reload(news); err != nil {
+				slog.Error("the new configuration is of no use, the old one goes on", "err", err)
+			}
+		}
+	}
 	longest := time.Duration(0)
 	for _, class := range settings.Classes {
 		longest = max(longest, class.Deadline)
--- a/cmd/arrowhitch/main_test.go
+++ b/cmd/arrowhitch/main_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
 	"io"
@@ -90,9 +91,12 @@
 			t.Error("it still listens")
 		}
 	})
+	t.Run("SIGHUP", func(t *testing.T) { testReload(t, bin) })
 	t.Run("bad configuration", func(t *testing.T) {
 		dir := t.TempDir()
 		for name, text := range map[string]string{"unreadable": "", "not JSON": "{", "no settings": `{"listen":"127.0.0.1:0","discovery":"x:1"}`,
+			"no port":        strings.Replace(configText("127.0.0.1:0", "127.0.0.1:1", settings), `"127.0.0.1:1","seed"`, `"discovery":"127.0.0.1"`, 1),
+			"negative limit": strings.Replace(configText("127.0.0.1:0", "127.0.0.1:1", settings), `"sockets":1024`, `"sockets":-1`, 1),
 			"no listen":      configText("", "127.0.0.1:1", settings),
 			"rejected":       configText("127.0.0.1:0", "127.0.0.1:1", `{"profiles":[]}`),
 			"unknown effect": configText("127.0.0.1:0", "127.0.0.1:1", strings.Replace(settings, "free", "odd", 1))} {
@@ -112,3 +116,95 @@
 		}
 	})
 }
+
+// A node that is told to read its file anew asks at the discovery that it names from then on, and goes on as it was
+// where the file is of no use.
+func testReload(t *testing.T, bin string) {
+	b := fakes.NewBackend(t, func(fakes.Seen, int) string { return "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok" })
+	calls := make(chan string, 9)
+	discovery := func(name string) string {
+		over := make(chan struct{})
+		p := fakes.NewPeer(t, func(c net.Conn, _ int) {
+			r := bufio.NewReader(c)
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			calls <- name
+			<-over
+		})
+		t.Cleanup(func() { close(over) })
+		return p.Addr
+	}
+	listen, path := fakes.Refusing(t), filepath.Join(t.TempDir(), "config.json")
+	write := func(text string) {
+		if err := os.WriteFile(path+".new", []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.Rename(path+".new", path); err != nil {
+			t.Fatal(err)
+		}
+	}
+	at := func(addr string) string {
+		return strings.Replace(configText(listen, b.Addr, settings), "127.0.0.1:1", addr, 1)
+	}
+	write(at(discovery("first")))
+	cmd := exec.Command(filepath.Join(bin, "arrowhitch"))
+	cmd.Env = append(os.Environ(), "PROXY_CONFIG="+path)
+	stderr, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	lines := make(chan string, 99)
+	go func() {
+		defer close(lines)
+		for s := bufio.NewScanner(stderr); s.Scan(); {
+			lines <- s.Text()
+		}
+	}()
+	said := func(what string) {
+		t.Helper()
+		for l := range lines {
+			if strings.Contains(l, what) {
+				return
+			}
+		}
+		t.Fatalf("it ended without a word of %q", what)
+	}
+	ask := func(id string) {
+		t.Helper()
+		req, _ := http.NewRequest(http.MethodGet, "http://"+listen+"/get/x", nil)
+		req.Header.Set("X-Trace-Id", id)
+		req.Header.Set("X-Qos", "get")
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if resp.Body.Close(); resp.StatusCode != http.StatusOK {
+			t.Errorf("request %s: %d", id, resp.StatusCode)
+		}
+	}
+	if name := fakes.Within(t, "a first call", calls); name != "first" {
+		t.Errorf("called %s", name)
+	}
+	for _, bad := range []string{"{", "{}", at("nowhere"), strings.Replace(at("127.0.0.1:1"), "free", "odd", 1)} {
+		write(bad)
+		cmd.Process.Signal(syscall.SIGHUP)
+		said("of no use")
+	}
+	ask("1")
+	write(at(discovery("second")))
+	cmd.Process.Signal(syscall.SIGHUP)
+	if name := fakes.Within(t, "a call after the move", calls); name != "second" {
+		t.Errorf("called %s", name)
+	}
+	ask("2") // the list is the old one's until the new one tells another
+	cmd.Process.Signal(syscall.SIGTERM)
+	for range lines {
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("after SIGTERM: %v", err)
+	}
+}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -90,7 +90,6 @@
 
 // Client talks to discovery. Its methods do not block.
 type Client struct {
-	base    string
 	pushed  bool
 	deliver func(Update)
 	http    *http.Client
@@ -103,7 +102,9 @@
 	retryFirst time.Duration // before a pushed list is watched again; longer each time
 
 	mu    sync.Mutex
-	close context.CancelFunc
+	base  string
+	close context.CancelFunc // ends the watch that is on
+	moved chan struct{}      // a pushed list is to be watched elsewhere
 
 	order sync.Mutex // updates leave one after the other, also those of calls side by side
 	rev   uint64
@@ -112,7 +113,7 @@
 
 // New makes a client; known is the list that the node had, delivered as remembered when Start is called.
 func New(addr string, pushed bool, deliver func(Update)) *Client {
-	c := &Client{base: "http://" + addr + "/registry/instances", pushed: pushed, deliver: deliver,
+	c := &Client{base: base(addr), moved: make(chan struct{}, 1), pushed: pushed, deliver: deliver,
 		callTime: 5 * time.Second, silence: 5 * time.Second, retryFirst: 100 * time.Millisecond}
 	c.life, c.end = context.WithCancel(context.Background())
 	// No connection is used twice: a call on one that has just died would be sent again unasked.
@@ -122,6 +123,31 @@
 	return c
 }
 
+func base(addr string) string { return "http://" + addr + "/registry/instances" }
+
+// Move asks at another address from now on. The list that was told stays; the whole of it is asked for anew, as
+// nothing says that the versions go on there.
+func (c *Client) Move(addr string) {
+	c.mu.Lock()
+	c.base = base(addr)
+	if c.close != nil {
+		c.close()
+		c.close = nil
+	}
+	c.mu.Unlock()
+	c.order.Lock()
+	c.has = false
+	c.order.Unlock()
+	if c.pushed {
+		select {
+		case c.moved <- struct{}{}:
+		default:
+		}
+		return
+	}
+	c.Watch(true)
+}
+
 // Start delivers the list that the node remembers, nil if none, and where lists are pushed begins to watch.
 func (c *Client) Start(known []byte) error {
 	var u Update
@@ -150,11 +176,19 @@
 func (c *Client) follow() {
 	wait := c.retryFirst
 	for c.life.Err() == nil {
-		if c.watch(c.life) {
+		ctx, cancel := context.WithCancel(c.life)
+		c.mu.Lock()
+		c.close = cancel
+		c.mu.Unlock()
+		if c.watch(ctx) {
 			wait = c.retryFirst
 		}
+		cancel()
 		select {
 		case <-c.life.Done():
+		case <-c.moved:
+			wait = c.retryFirst
+			continue
 		case <-time.After(wait/2 + rand.N(wait)):
 		}
 		wait = min(2*wait, retryMost)
@@ -208,7 +242,10 @@
 }
 
 func (c *Client) get(ctx context.Context, query string) (*http.Response, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+query, nil)
+	c.mu.Lock()
+	url := c.base + query
+	c.mu.Unlock()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -75,6 +75,7 @@
 
 type world struct {
 	*Client
+	addr    string
 	calls   chan call
 	updates chan Update
 }
@@ -92,6 +93,7 @@
 		<-over
 	})
 	t.Cleanup(func() { close(over) })
+	w.addr = p.Addr
 	w.Client = New(p.Addr, pushed, func(u Update) { w.updates <- u })
 	if shorten != nil {
 		shorten(w.Client)
@@ -238,6 +240,32 @@
 	}
 }
 
+// A client that is told another address leaves the old one at once and asks for the whole list at the new one.
+func TestMove(t *testing.T) {
+	fakes.Leaks(t)
+	for _, pushed := range []bool{false, true} {
+		old := start(t, pushed, line(7, true, entry("s1", "SERVING")), nil)
+		next := start(t, false, "", nil) // lends its listener
+		old.Watch(true)
+		c := fakes.Within(t, "a call", old.calls)
+		c.begin()
+		c.chunk(line(8, false, entry("s2", "SERVING")) + "\n")
+		old.expect(t, logic.FleetChanges, "s2")
+		old.Move(next.addr)
+		fakes.Eventually(t, "the old watch to end", func() bool { _, err := c.conn.Write([]byte("1\r\n\n\r\n")); return err != nil })
+		c = fakes.Within(t, "a call at the new address", next.calls)
+		if c.uri != "/registry/instances?watch=1" {
+			t.Errorf("pushed %v: called %s", pushed, c.uri)
+		}
+		c.begin()
+		c.chunk(line(3, true, entry("s3", "SERVING")) + "\n") // its versions are its own
+		old.expect(t, logic.FleetAll, "s3")
+		if len(old.updates) != 0 || len(old.calls) != 0 {
+			t.Errorf("pushed %v: moving told %d more and called the old address %d times", pushed, len(old.updates), len(old.calls))
+		}
+	}
+}
+
 func TestUselessKnownList(t *testing.T) {
 	fakes.Leaks(t)
 	updates := make(chan Update, 1)
