logic: forget all that a restarted server's old process did

The comment said so, but what it answered of late (recent, which settles ties and would keep the new process out of them) and since when it is silent (quiet, which would have the new process out as hung for what the old one left unanswered) stayed. Since sent bounds what a cold server gets, it stays on purpose: it can only err on the side of less. The test fails without the change. Servers that come under new ids were never affected.

--- a/logic/fleet_test.go
+++ b/logic/fleet_test.go
@@ -141,3 +141,35 @@
 		t.Errorf("home is nearly late, yet only %.2f go elsewhere", late)
 	}
 }
+
+// A server that has started anew is judged by nothing that its old process did: neither by its latency of late,
+// which settles ties, nor by what it leaves unanswered.
+func TestRestartForgets(t *testing.T) {
+	set := settings()
+	set.ColdTime = 0
+	b, h := start(t, set, oneZone(2))
+	now := 10 * ms
+	for i := range 40 {
+		now += 10 * ms
+		id, took := fmt.Sprint("r", i), 10*ms
+		if ask(t, b, h, now, id, "once") == "s0" {
+			took = 60 * ms
+		}
+		end(b, now, id, Served, took)
+	}
+	for i := range 9 { // until the old process holds one
+		if ask(t, b, h, now, fmt.Sprint("held", i), "once") == "s0" {
+			break
+		}
+	}
+	s := b.servers["s0"]
+	if now += 600 * ms; s.inFlight == 0 || !b.ejected(s, now) || s.recent.n == 0 {
+		t.Fatalf("the old process: %d in flight, out %v, %v answers of late", s.inFlight, b.ejected(s, now), s.recent.n)
+	}
+	again := s.Server
+	again.Since = now
+	b.Fleet(now, FleetUpdate{Kind: FleetChanges, Servers: []Server{again}})
+	if b.ejected(s, now+ms) || s.recent.n != 0 || s.slow.n != 0 {
+		t.Errorf("the new process: out %v, %v answers of late, %v in all", b.ejected(s, now+ms), s.recent.n, s.slow.n)
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -114,7 +114,8 @@
 			b.servers[e.ID] = s
 			b.list = append(b.list, s)
 		} else if e.Since != s.Since { // restarted: what was seen of the old process says nothing
-			s.slow, s.strikes, s.trips, s.until, s.trial = stat{}, 0, 0, 0, false
+			s.slow, s.recent, s.quiet = stat{}, stat{}, now
+			s.strikes, s.trips, s.until, s.trial = 0, 0, 0, false
 		}
 		if !(e.Weight > 0) || math.IsInf(e.Weight, 1) || b.set.Weights == WeightLive {
 			e.Weight = b.given.mean(1, 0.001)
