logic: say in a refusal when to come back

RetryAdvice and MaxRetryAdvice were read and never used: every refusal said 0, so clients asked again at once. The advice is the time in which what is out now ends, longer the more is out over the usual, within the limit. Refusals are given as soon as ever. The tests fail without the change.

--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -321,6 +321,23 @@
 	}
 }
 
+// A refusal carries the module's advice, in seconds with decimals.
+func TestRetryAfter(t *testing.T) {
+	fakes.Leaks(t)
+	w := start(t, nil)
+	c := w.dial(t)
+	c.send(head("GET", "get"))
+	fakes.Eventually(t, "the request", func() bool { return w.held() == 1 })
+	w.do(func(time.Duration) {
+		for id := range w.requests {
+			(*host)(w.Node).Refuse(id, 40*time.Millisecond)
+		}
+	})
+	if code, _, h := c.answer(t); code != 503 || h.Get("Retry-After") != "0.040" {
+		t.Errorf("%d, Retry-After %q", code, h.Get("Retry-After"))
+	}
+}
+
 func TestMaxOpen(t *testing.T) {
 	fakes.Leaks(t)
 	came, goOn := make(chan struct{}, 1), make(chan struct{})
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -387,7 +387,7 @@
 	p := 1 - (b.asked.sum*headroom+pool)/(b.asked.n+pool)
 	// What is out over the usual (answers a second times what they take) is the multiple of its usual time
 	// that a new one will take: seen before any is late.
-	usual, spare := b.flow.fade(now, b.pace).sum/float64(min(b.pace, now-b.first+1)), pool
+	usual, spare := b.usualOut(now), pool
 	if r.class.n < minSamples {
 		spare = minSamples
 	}
@@ -402,6 +402,11 @@
 	return b.rng.Float64() < min(odds/(odds+1-p+1e-9), 1-trickle)
 }
 
+// usualOut is how many attempts are out usually: answers a second times what they take.
+func (b *Balancer) usualOut(now time.Duration) float64 {
+	return b.flow.fade(now, b.pace).sum / float64(min(b.pace, now-b.first+1))
+}
+
 // Request takes a client's request.
 func (b *Balancer) Request(now time.Duration, q Request) {
 	if b.requests[q.ID] != nil {
@@ -418,7 +423,7 @@
 	r := &request{Request: q, seq: b.seq, class: c, deadline: now + q.Left}
 	b.requests[q.ID], b.bySeq[r.seq] = r, r
 	if b.overloaded(now, r) {
-		b.finish(r)
+		b.finish(now, r)
 		return
 	}
 	b.tend(now, r)
@@ -429,7 +434,7 @@
 		return
 	}
 	if now >= r.deadline {
-		b.finish(r)
+		b.finish(now, r)
 		return
 	}
 	if s := b.candidate(now, r); s != nil {
@@ -437,7 +442,7 @@
 		return
 	}
 	if len(r.tries) > 0 || r.deadline-now < r.Left/4 { // nowhere to go: say so while the client can still use it
-		b.finish(r)
+		b.finish(now, r)
 		return
 	}
 	b.host.SetTimer(r.seq, r.Left/8+1)
@@ -507,9 +512,19 @@
 	}
 }
 
-func (b *Balancer) finish(r *request) {
+// comeBack is when a client that is refused should ask again: when what is out now has ended, which takes the longer
+// the more there is over the usual. Danger: clients that are told nothing ask again at once, and feed the overload.
+func (b *Balancer) comeBack(now time.Duration, r *request) time.Duration {
+	if !b.set.RetryAdvice || r.class.n < minSamples {
+		return 0
+	}
+	wait := r.class.lat * max(float64(b.out-b.stuck)/max(b.usualOut(now), 1), 1)
+	return min(time.Duration(wait), b.set.MaxRetryAdvice)
+}
+
+func (b *Balancer) finish(now time.Duration, r *request) {
 	if b.mayRefuse(r) {
-		b.host.Refuse(r.ID, 0)
+		b.host.Refuse(r.ID, b.comeBack(now, r))
 	} else {
 		b.host.Fail(r.ID)
 	}
--- a/logic/pick_test.go
+++ b/logic/pick_test.go
@@ -257,6 +257,41 @@
 	}
 }
 
+// Whoever is refused is told when what is out will have ended, within the limit; where clients hear no such advice,
+// and as long as nothing is known of how long answers take, nothing is told.
+func TestRefusalsSayWhenToComeBack(t *testing.T) {
+	for _, c := range []struct {
+		advice   bool
+		limit    time.Duration
+		low, top time.Duration
+	}{{true, time.Second, 10 * ms, 500 * ms}, {true, 2 * ms, 2 * ms, 2 * ms}, {false, time.Second, 0, 0}} {
+		set := settings()
+		set.RetryAdvice, set.MaxRetryAdvice = c.advice, c.limit
+		b, h := known(t, set)
+		refused := 0
+		for i := range 200 { // at once: more than fits
+			b.Request(605*ms, Request{ID: fmt.Sprint("r", i), Class: "safe", Left: time.Second})
+			for _, a := range h.take() {
+				if a.what != "refuse" {
+					continue
+				}
+				if refused++; a.at < c.low || a.at > c.top {
+					t.Fatalf("%+v: told to come back after %v", c, a.at)
+				}
+			}
+		}
+		if refused == 0 {
+			t.Errorf("%+v: nothing was refused", c)
+		}
+	}
+	set := settings()
+	set.RetryAdvice, set.MaxRetryAdvice = true, time.Second
+	b, _ := start(t, set, oneZone(1))
+	if d := b.comeBack(ms, &request{class: b.classes["safe"]}); d != 0 {
+		t.Errorf("%v before anything is known", d)
+	}
+}
+
 // The names of zones, kinds, classes, tenants and servers decide nothing.
 func TestNamesDecideNothing(t *testing.T) {
 	run := func(p string) (log []act) {
