logic: leave a server out for the class that it keeps turning away

A log of each server once a second showed that every server of two kinds answered seat-hold with X-Never-Ran while it served seat-map well, with few in flight. Ruled out: connections (ages of 2 to 108 uses), deadlines (all of them left), queues (three in flight). Nothing in the module's view was kept by class: TurnedAway is no strike, ends at once, lowers the counter and wins the next pair; the retry budget was gone within a second. Three times in a row without one served now leave the server out for that class, as long as an ejection; where all do, all are asked. The test fails without the change.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -115,7 +115,7 @@
 			b.list = append(b.list, s)
 		} else if e.Since != s.Since { // restarted: what was seen of the old process says nothing
 			s.slow, s.recent, s.quiet = stat{}, stat{}, now
-			s.strikes, s.trips, s.until, s.trial = 0, 0, 0, false
+			s.strikes, s.trips, s.until, s.trial, s.turned = 0, 0, 0, false, nil
 		}
 		if !(e.Weight > 0) || math.IsInf(e.Weight, 1) || b.set.Weights == WeightLive {
 			e.Weight = b.given.mean(1, 0.001)
@@ -302,11 +302,13 @@
 		loss = took / float64(c.Aim)
 		loss = min(loss*loss, 1)
 		s.strikes, s.trips, s.trial = 0, 0, false
+		delete(s.turned, c)
 		b.observe(now, s, took/max(c.lat, 1))
 	case Cancelled, NotSent:
 		return
 	case TurnedAway:
 		b.observe(now, s, 4)
+		b.turnedAway(now, s, c)
 	case Errored, NotConnected, ConnLost, TimedOut:
 		if o.Result == TimedOut && now >= r.deadline && o.Took < c.Aim { // the client left it no time
 			return
@@ -331,10 +333,36 @@
 
 // eject takes a server out of the draws, longer each time.
 func (b *Balancer) eject(now time.Duration, s *server) {
-	s.until = now + min(b.life/16<<s.trips, b.life/2)
+	s.until = now + b.span(s.trips)
 	s.trips, s.strikes, s.trial, b.dirty = min(s.trips+1, 4), 0, true, true
 }
 
+// span is how long a server is left out that was so trips times in a row before.
+func (b *Balancer) span(trips int) time.Duration { return min(b.life/16<<trips, b.life/2) }
+
+// turnedAway leaves a server out for a class that it keeps turning away, longer each time. Danger: one that serves
+// the other classes well is never ejected; its counter, low as it ends them at once, wins its pairs for this one.
+func (b *Balancer) turnedAway(now time.Duration, s *server, c *class) {
+	if s.turned == nil {
+		s.turned = map[*class]*turns{}
+	}
+	t := s.turned[c]
+	if t == nil {
+		t = &turns{}
+		s.turned[c] = t
+	}
+	if t.row++; t.row >= 3 && now >= t.until {
+		t.until = now + b.span(t.trips)
+		t.trips = min(t.trips+1, 4)
+	}
+}
+
+// takes tells whether a server is in the draws for a class.
+func (s *server) takes(c *class, now time.Duration) bool {
+	t := s.turned[c]
+	return t == nil || now >= t.until
+}
+
 // ---- requests ----
 
 func (b *Balancer) mayResend(r *request, s *server, now time.Duration) bool {
@@ -453,14 +481,18 @@
 	if again && b.budget < 1 {
 		return nil
 	}
-	s := b.pick(now, func(s *server) bool {
+	may := func(s *server) bool {
 		for i := range r.tries {
 			if r.tries[i].to == s {
 				return false
 			}
 		}
 		return !b.pushed(s, now) && b.mayResend(r, s, now)
-	})
+	}
+	s := b.pick(now, func(s *server) bool { return s.takes(r.class, now) && may(s) })
+	if s == nil && !again { // all turn it away: better asked than left out
+		s = b.pick(now, may)
+	}
 	if s != nil && again {
 		b.budget--
 	}
--- a/logic/pick_test.go
+++ b/logic/pick_test.go
@@ -185,6 +185,44 @@
 	}
 }
 
+// A server that turns one class away is left out for that one alone, and is tried again.
+func TestClassTurnedAwayIsLeftOut(t *testing.T) {
+	set := settings()
+	set.Proxies = 1
+	b, h := start(t, set, oneZone(4))
+	n, tries := map[string]int{}, map[string]int{}
+	play := func(from, to int, away bool) {
+		clear(n)
+		for i := from; i < to; i++ {
+			now, class := time.Duration(i)*5*ms, []string{"safe", "once"}[i%2]
+			id, old := fmt.Sprint("r", i), fmt.Sprint("r", i-8) // eight are out at any time
+			h.now = now
+			if k, ok := tries[old]; ok {
+				b.Outcome(now, Outcome{ID: old, Attempt: k, Result: Served, Took: 40 * ms, Done: true})
+			}
+			b.Request(now, Request{ID: id, Class: class, Left: time.Second})
+			for k := 0; ; k++ {
+				a := h.take()
+				if len(a) != 1 || a[0].what != "send" {
+					break
+				}
+				tries[id] = k
+				if n[class+a[0].server]++; away && class == "once" && a[0].server == "s3" {
+					delete(tries, id)
+					b.Outcome(now, Outcome{ID: id, Attempt: k, Result: TurnedAway, Took: ms})
+				}
+			}
+		}
+	}
+	play(0, 2000, true)
+	if once, safe := n["onces3"], n["safes3"]; once > 60 || safe < 100 {
+		t.Errorf("of 1000 each it got %d that it turns away and %d that it serves", once, safe)
+	}
+	if play(2000, 6000, false); n["onces3"] < 300 {
+		t.Errorf("it serves them again and gets %d of 2000", n["onces3"])
+	}
+}
+
 // When all fail, nobody is ejected.
 func TestPanicThreshold(t *testing.T) {
 	b, h := start(t, settings(), oneZone(4))
--- a/logic/state.go
+++ b/logic/state.go
@@ -19,10 +19,18 @@
 	trips    int           // ejections in a row
 	until    time.Duration // ejected until then
 	trial    bool
+	turned   map[*class]*turns // of classes that it has turned away since it served one
 	weight   float64
 	place    float64
 }
 
+// turns is how a server turns a class away.
+type turns struct {
+	row   int           // times in a row
+	trips int           // times that it was left out for it, in a row
+	until time.Duration // left out until then
+}
+
 type attempt struct {
 	to     *server
 	sent   time.Duration
