backend: give up an answer as soon as it shows that it is spoilt

An answer said to have 3 GB was streamed: the client had its head and nobody else could serve it. Noise without a line end was read until the pause limit or the client's time was up, as net/http's parser waits for a whole line. An answer that says more than 32 MiB and one that does not begin with HTTP/1. are failed attempts at once now, which may have run. The test fails without the change.

--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -18,6 +18,7 @@
 	// WholeAnswer is the longest answer that is read whole before it is passed on; a longer one streams.
 	WholeAnswer = 64 << 10
 	headLimit   = 64 << 10
+	longest     = 32 << 20 // no answer is longer: one that says so is spoilt
 	inlineBody  = 16 << 10
 	streamStall = 1500 * time.Millisecond
 	answerPause = 250 * time.Millisecond
@@ -270,7 +271,9 @@
 		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, headLimit))
 		return reply, err == nil && n < headLimit && c.br.Buffered() == 0
 	}
-	if !delimited(resp) { // where it ends cannot be told from where it broke
+	// Where an answer ends without saying cannot be told from where it broke. Danger: one that says 3 GB keeps
+	// coming, and once its client has the head nobody else can serve the request.
+	if !delimited(resp) || resp.ContentLength > longest {
 		return Reply{Result: logic.ConnLost, Load: reply.Load}, false
 	}
 	reply.Header = resp.Header
@@ -290,6 +293,9 @@
 	c.left = headLimit
 	defer func() { c.left = -1 }()
 	for range 8 {
+		if err := c.speaks(); err != nil {
+			return nil, err
+		}
 		resp, err := http.ReadResponse(c.br, &http.Request{Method: a.req.Method})
 		if err != nil {
 			return nil, err
@@ -304,6 +310,22 @@
 	return nil, errors.New("no final answer")
 }
 
+// speaks waits until an answer shows that it is one. Danger: net/http's parser waits for the end of a line, which
+// noise may not have, while another backend could still serve the request.
+func (c *conn) speaks() error {
+	const version = "HTTP/1."
+	for n := range len(version) {
+		b, err := c.br.Peek(n + 1)
+		if err != nil {
+			return err
+		}
+		if b[n] != version[n] {
+			return errors.New("not an answer of HTTP/1")
+		}
+	}
+	return nil
+}
+
 // broken words an exchange that ended with no answer. wrote is how the writing ended.
 func (a *Attempt) broken(read, wrote error) logic.Result {
 	switch {
--- a/internal/backend/attempt_test.go
+++ b/internal/backend/attempt_test.go
@@ -375,6 +375,23 @@
 	}
 }
 
+// An answer that shows early that it is spoilt is given up at once, though its connection stays open.
+func TestSpoiltAnswersEndAtOnce(t *testing.T) {
+	fakes.Leaks(t)
+	for name, begun := range map[string]string{"noise": "\x16\x03\x01", "noise that begins well": "HTTP/2",
+		"3 GB": "HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\nthey keep coming"} {
+		over := make(chan struct{})
+		b := fakes.NewPeer(t, func(c net.Conn, _ int) { readRequest(c); io.WriteString(c, begun); <-over })
+		p := newPool(t, Options{}, 9)
+		a := NewAttempt(p.Upstream(b.Addr, 0), get("/get"), time.Now().Add(fakes.Patience))
+		r := a.Do(func(http.Header, int64) io.Writer { return nil })
+		close(over)
+		if r.Result != logic.ConnLost || p.budget.Used() != 0 {
+			t.Errorf("%s: result %d, %d descriptors", name, r.Result, p.budget.Used())
+		}
+	}
+}
+
 // A pause such as backends make is none of that, nor is one before the answer.
 func TestAnswerPauses(t *testing.T) {
 	fakes.Leaks(t)
