logic: weigh a bounded part of a long list, refuse at once where it is known empty

A request that had nowhere to go was held for three quarters of its time even where the list was known to have no running server, and zones and kinds that were ever new stayed in memory for good.

The list is kept sorted by insertion and split by zone; of a long one the first servers of each zone are weighed, more than are drawn from. Short lists are weighed as before, so the module's actions there are the same. A list that was told and has no running server refuses at once, which does not count as overload. Names that no server has are dropped.

--- /dev/null
+++ b/logic/list_test.go
@@ -0,0 +1,214 @@
+package logic
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+// A list that is known to have no running server refuses at once; one that has yet to come is waited for.
+func TestKnownEmptyListRefusesAtOnce(t *testing.T) {
+	draining := fleet(2)
+	for i := range draining {
+		draining[i].State = Draining
+	}
+	for name, c := range map[string]struct {
+		u    FleetUpdate
+		want string
+	}{
+		"remembered, empty":    {FleetUpdate{Kind: FleetRemembered}, ""},
+		"told, empty":          {FleetUpdate{Kind: FleetAll}, "refuse"},
+		"told, all draining":   {FleetUpdate{Kind: FleetAll, Servers: draining}, "refuse"},
+		"changes, none added":  {FleetUpdate{Kind: FleetChanges}, "refuse"},
+		"refused is no news":   {FleetUpdate{Kind: FleetRefused}, ""},
+		"told, one is running": {FleetUpdate{Kind: FleetAll, Servers: fleet(1)}, "send"},
+	} {
+		h := &recorder{}
+		b, err := New(settings(), 1, h)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b.Fleet(0, c.u)
+		b.Request(ms, Request{ID: "r", Class: "once", Left: time.Second})
+		got := ""
+		if a := h.take(); len(a) > 0 {
+			got = a[0].what
+		}
+		if got != c.want {
+			t.Errorf("%s: %q, want %q", name, got, c.want)
+		}
+	}
+}
+
+// What is held for a list that has yet to come is refused with the news that it is empty, and served by what comes next.
+func TestHeldRequestsEndWithTheList(t *testing.T) {
+	h := &recorder{}
+	b, err := New(settings(), 1, h)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.Fleet(0, FleetUpdate{Kind: FleetRemembered})
+	for i := range 3 {
+		b.Request(ms, Request{ID: fmt.Sprint("r", i), Class: "once", Left: time.Second})
+	}
+	if a := h.take(); len(a) != 0 {
+		t.Fatalf("%v before anything is known", a)
+	}
+	b.Fleet(2*ms, FleetUpdate{Kind: FleetAll})
+	a := h.take()
+	if len(a) != 3 || a[0] != (act{what: "refuse", id: "r0"}) || a[2].id != "r2" {
+		t.Errorf("%v, want three refusals in order", a)
+	}
+	if len(b.requests)+len(b.bySeq) != 0 {
+		t.Error("refused requests are kept")
+	}
+	b.Fleet(3*ms, FleetUpdate{Kind: FleetAll, Servers: fleet(2)})
+	if ask(t, b, h, 4*ms, "later", "once") == "" {
+		t.Error("the list came back and nothing is sent")
+	}
+}
+
+// Whatever the news, the list, the lists of zones and the count of running servers agree with it.
+func TestListsAgree(t *testing.T) {
+	for seed := range uint64(20) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		b, _ := start(t, settings(), nil)
+		want := map[string]Server{}
+		for step := range 200 {
+			u := FleetUpdate{Kind: FleetChanges}
+			if rng.IntN(10) == 0 {
+				u.Kind = FleetAll
+				want = map[string]Server{}
+			}
+			for range rng.IntN(12) {
+				s := Server{ID: fmt.Sprint(rng.IntN(30)), Zone: string(rune('a' + rng.IntN(4))), Weight: 1,
+					State: State(rng.IntN(3)), Since: time.Duration(rng.IntN(2)) * ms}
+				u.Servers = append(u.Servers, s)
+				if delete(want, s.ID); s.State != Removed {
+					want[s.ID] = s
+				}
+			}
+			b.Fleet(time.Duration(step)*ms, u)
+			running, zoned := 0, 0
+			for zone, l := range b.byZone {
+				zoned += len(l)
+				if len(l) == 0 || !slices.IsSortedFunc(l, byPlace) {
+					t.Fatalf("seed %d step %d: zone %s is empty or unsorted", seed, step, zone)
+				}
+				for _, s := range l {
+					if s.Zone != zone || want[s.ID] != s.Server {
+						t.Fatalf("seed %d step %d: %+v in zone %s, want %+v", seed, step, s.Server, zone, want[s.ID])
+					}
+					if s.State == Running {
+						running++
+					}
+				}
+			}
+			if len(b.list) != len(want) || len(b.servers) != len(want) || zoned != len(want) || running != b.running ||
+				!slices.IsSortedFunc(b.list, byPlace) {
+				t.Fatalf("seed %d step %d: %d listed, %d by id, %d by zone, %d of %d running, want %d", seed, step,
+					len(b.list), len(b.servers), zoned, b.running, running, len(want))
+			}
+		}
+	}
+}
+
+// An hour of zones, kinds and ids that are ever new leaves nothing behind.
+func TestNamesThatAreEverNewAreForgotten(t *testing.T) {
+	b, h := start(t, settings(), nil)
+	for sec := range 3600 {
+		now := time.Duration(sec+1) * time.Second
+		l := make([]Server, 8)
+		for i := range l {
+			l[i] = Server{ID: fmt.Sprint(sec, i), Zone: fmt.Sprint("z", sec, i%4), Kind: fmt.Sprint("k", sec, i), Weight: 1}
+		}
+		b.Fleet(now, FleetUpdate{Kind: FleetAll, Servers: l})
+		for i := range 4 {
+			id := fmt.Sprint("r", sec, i)
+			if ask(t, b, h, now, id, "once") != "" {
+				end(b, now+10*ms, id, Served, 10*ms)
+			}
+		}
+	}
+	for what, n := range map[string]int{"servers": len(b.servers), "list": len(b.list), "byZone": len(b.byZone),
+		"kinds": len(b.kinds), "zones": len(b.zones), "places": len(b.places), "requests": len(b.requests)} {
+		if n > 4*names {
+			t.Errorf("%s holds %d entries after an hour", what, n)
+		}
+	}
+}
+
+// Of a long list a part is weighed, and that part goes round what cannot be used.
+func TestLongListsFindWhoIsReady(t *testing.T) {
+	l := oneZone(5000)
+	for i := range l {
+		if l[i].State = Draining; i == 4321 || i == 17 {
+			l[i].State = Running
+		}
+	}
+	b, h := start(t, settings(), l)
+	for i := range 20 {
+		id := fmt.Sprint("r", i)
+		if got := ask(t, b, h, ms, id, "once"); got != l[4321].ID && got != l[17].ID {
+			t.Fatalf("request %d went to %q, which is draining", i, got)
+		}
+		end(b, ms, id, Served, ms)
+	}
+	for i := range l {
+		l[i].State = Running
+	}
+	b.Fleet(2*ms, FleetUpdate{Kind: FleetAll, Servers: l})
+	ask(t, b, h, 3*ms, "all", "once")
+	if len(b.some) > 4*weighed {
+		t.Errorf("%d of %d servers were weighed", len(b.some), len(l))
+	}
+}
+
+func benchmarkSizes(b *testing.B, run func(b *testing.B, bal *Balancer, h *recorder, l []Server)) {
+	for _, n := range []int{10, 100, 1000, 10000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			h := &recorder{}
+			set := settings()
+			set.Proxies = 1
+			bal, err := New(set, 1, h)
+			if err != nil {
+				b.Fatal(err)
+			}
+			l := fleet(n)
+			bal.Fleet(0, FleetUpdate{Kind: FleetAll, Servers: l})
+			b.ReportAllocs()
+			b.ResetTimer()
+			run(b, bal, h, l)
+		})
+	}
+}
+
+func serveOne(bal *Balancer, h *recorder, i int) {
+	now := time.Duration(i) * ms / 10
+	bal.Request(now, Request{ID: "r", Class: "once", Left: time.Second})
+	bal.Outcome(now, Outcome{ID: "r", Result: Served, Took: 10 * ms, Done: true})
+	h.acts = h.acts[:0]
+}
+
+// BenchmarkDecision is a request with its outcome, by the length of the list.
+func BenchmarkDecision(b *testing.B) {
+	benchmarkSizes(b, func(b *testing.B, bal *Balancer, h *recorder, l []Server) {
+		for i := range b.N {
+			serveOne(bal, h, i)
+		}
+	})
+}
+
+// BenchmarkChange is one changed endpoint with a request behind it, by the length of the list.
+func BenchmarkChange(b *testing.B) {
+	benchmarkSizes(b, func(b *testing.B, bal *Balancer, h *recorder, l []Server) {
+		for i := range b.N {
+			s := l[i%len(l)]
+			s.State = State(i / len(l) % 2)
+			bal.Fleet(time.Duration(i)*ms/10, FleetUpdate{Kind: FleetChanges, Servers: []Server{s}})
+			serveOne(bal, h, i)
+		}
+	})
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -18,7 +18,11 @@
 	tenants                map[string]*tenant
 	kinds                  map[string]*stat // latency of each kind of server, as a multiple of its class's mean
 	servers                map[string]*server
-	list, ready            []*server     // in the list's order
+	list, ready, some      []*server // in the list's order; some: of which the ready ones are
+	byZone                 map[string][]*server
+	running, added         int           // running servers; servers ever added
+	mostKinds              int           // kinds are looked over once there are more
+	told                   bool          // the list is known, not only remembered
 	table                  []float64     // running sums of the weights of ready
 	fresh                  time.Duration // the table's age
 	dirty, asking, looking bool
@@ -49,6 +53,8 @@
 	overdue    = 14.0 // mean deviations over the mean, after which a copy is made
 	silent     = 4.0  // mean deviations over the mean, twice which a server may answer nothing
 	subset     = 16   // servers of a zone drawn from at the least: one of them lost is within headroom
+	weighed    = 256  // servers of a zone weighed at the least: what a change costs is not to grow with the list
+	names      = 64   // zones and kinds that may be remembered beside those of the list
 	asksSeq    = 0    // timer token of the list
 	looksSeq   = math.MaxInt64
 )
@@ -60,8 +66,8 @@
 	}
 	b := &Balancer{set: s, host: host, rng: rand.New(rand.NewPCG(seed, 0x62617361)), budget: extraBurst,
 		classes: map[string]*class{}, servers: map[string]*server{}, requests: map[string]*request{},
-		bySeq: map[uint64]*request{}, kinds: map[string]*stat{}, zones: map[string]*stat{},
-		places: map[string]int{}, tenants: map[string]*tenant{}, aim: math.MaxInt64}
+		bySeq: map[uint64]*request{}, byZone: map[string][]*server{}, kinds: map[string]*stat{}, zones: map[string]*stat{},
+		places: map[string]int{}, mostKinds: names, tenants: map[string]*tenant{}, aim: math.MaxInt64}
 	for _, c := range s.Classes {
 		if c.Aim <= 0 || c.Aim > c.Deadline {
 			c.Aim = c.Deadline
@@ -90,41 +96,56 @@
 	}
 	b.dirty = true
 	if u.Kind != FleetChanges {
-		seen := map[string]bool{}
+		seen := make(map[string]bool, len(u.Servers))
 		for _, e := range u.Servers {
 			seen[e.ID] = true
 		}
-		for _, s := range b.list {
+		for _, s := range slices.Clone(b.list) {
 			if !seen[s.ID] {
-				delete(b.servers, s.ID)
+				b.leave(s)
 			}
 		}
 	}
 	for _, e := range u.Servers {
 		s := b.servers[e.ID]
 		if e.State == Removed {
-			delete(b.servers, e.ID)
+			if s != nil {
+				b.leave(s)
+			}
 			continue
 		}
 		if s == nil {
 			// Both shares of a golden section: proxies and servers are spread evenly however many there are.
 			_, place := math.Modf(math.Phi*float64(b.places[e.Zone]) + math.Sqrt2*float64(max(b.set.Me, 0)))
-			s = &server{place: place}
+			s = &server{place: place, added: b.added}
 			b.places[e.Zone]++
+			b.added++
 			b.servers[e.ID] = s
-			b.list = append(b.list, s)
-		} else if e.Since != s.Since { // restarted: what was seen of the old process says nothing
-			s.slow, s.recent, s.quiet = stat{}, stat{}, now
-			s.strikes, s.trips, s.until, s.trial, s.turned = 0, 0, 0, false, nil
+			b.list = inserted(b.list, s)
+		} else {
+			if e.Since != s.Since { // restarted: what was seen of the old process says nothing
+				s.slow, s.recent, s.quiet = stat{}, stat{}, now
+				s.strikes, s.trips, s.until, s.trial, s.turned = 0, 0, 0, false, nil
+			}
+			b.unzone(s)
 		}
 		if !(e.Weight > 0) || math.IsInf(e.Weight, 1) || b.set.Weights == WeightLive {
 			e.Weight = b.given.mean(1, 0.001)
 		}
 		b.given.add(e.Weight)
 		s.Server, s.home = e, e.Zone == b.set.Zone
+		b.byZone[s.Zone] = inserted(b.byZone[s.Zone], s)
+		if s.State == Running {
+			b.running++
+		}
+	}
+	b.forget()
+	b.told = b.told || u.Kind != FleetRemembered
+	if b.told && b.running == 0 { // what is held has nowhere to go, and there is nothing to wait for
+		for _, seq := range slices.Sorted(maps.Keys(b.bySeq)) {
+			b.tend(now, b.bySeq[seq])
+		}
 	}
-	b.list = slices.DeleteFunc(b.list, func(s *server) bool { return b.servers[s.ID] != s })
-	slices.SortStableFunc(b.list, func(x, y *server) int { return cmp.Compare(x.place, y.place) })
 	if u.Kind == FleetRemembered {
 		if b.set.Ask {
 			b.ask(b.set.MustAskIn / 4)
@@ -134,6 +155,58 @@
 	}
 }
 
+// inserted puts s into l, which is sorted by place.
+func inserted(l []*server, s *server) []*server {
+	i, _ := slices.BinarySearchFunc(l, s, byPlace)
+	return slices.Insert(l, i, s)
+}
+
+func without(l []*server, s *server) []*server {
+	if i, ok := slices.BinarySearchFunc(l, s, byPlace); ok {
+		return slices.Delete(l, i, i+1)
+	}
+	return l
+}
+
+func byPlace(x, y *server) int {
+	return cmp.Or(cmp.Compare(x.place, y.place), cmp.Compare(x.added, y.added))
+}
+
+// leave drops a server from the list.
+func (b *Balancer) leave(s *server) {
+	delete(b.servers, s.ID)
+	b.list = without(b.list, s)
+	b.unzone(s)
+}
+
+func (b *Balancer) unzone(s *server) {
+	if s.State == Running {
+		b.running--
+	}
+	if b.byZone[s.Zone] = without(b.byZone[s.Zone], s); len(b.byZone[s.Zone]) == 0 {
+		delete(b.byZone, s.Zone)
+	}
+}
+
+// forget drops what is kept of zones and kinds that no server has, once there are many. Danger: names that are ever
+// new would fill the memory in time.
+func (b *Balancer) forget() {
+	if len(b.places) > 2*len(b.byZone)+names {
+		maps.DeleteFunc(b.places, func(zone string, _ int) bool { return len(b.byZone[zone]) == 0 })
+	}
+	if len(b.zones) > 2*len(b.byZone)+names {
+		maps.DeleteFunc(b.zones, func(zone string, _ *stat) bool { return len(b.byZone[zone]) == 0 })
+	}
+	if len(b.kinds) > b.mostKinds {
+		has := map[string]bool{}
+		for _, s := range b.list {
+			has[s.Kind] = true
+		}
+		maps.DeleteFunc(b.kinds, func(kind string, _ *stat) bool { return !has[kind] })
+		b.mostKinds = 2*len(b.kinds) + names
+	}
+}
+
 func (b *Balancer) ask(within time.Duration) {
 	if b.set.Ask && !b.asking {
 		b.asking = true
@@ -148,7 +221,8 @@
 	}
 	b.dirty, b.fresh, b.stuck = false, now, 0
 	var warm, all, bad, sum, sent stat
-	for _, s := range b.list {
+	some := b.near(now)
+	for _, s := range some {
 		s.weight = s.Weight / b.slowness(s, now)
 		w := b.warmth(s, now)
 		if w == 1 {
@@ -156,7 +230,7 @@
 		}
 	}
 	b.ready, b.table = b.ready[:0], b.table[:0]
-	for _, s := range b.list {
+	for _, s := range some {
 		// Danger: a server that has just started holds nothing, so a live weight is at its highest and its
 		// counter wins each pair, which doubles its draws. Squaring the warmth takes that back.
 		if w := b.warmth(s, now); w < 1 {
@@ -171,10 +245,10 @@
 		}
 	}
 	calm, taken := bad.sum <= panicShare*all.sum, map[string]int{}
-	for _, s := range b.list {
+	for _, s := range some {
 		// Danger: proxies times servers. A subset, even over all proxies, keeps connections few, and a proxy
 		// that sees little knows those servers well.
-		if s.State == Running && !(calm && b.ejected(s, now)) && taken[s.Zone] < max(subset, 2*b.out) {
+		if s.State == Running && !(calm && b.ejected(s, now)) && taken[s.Zone] < b.most() {
 			taken[s.Zone]++
 			sent.sum, sent.n = sent.sum+s.sent.fade(now, b.set.FallTime+1).n, sent.n+b.warmth(s, now)
 			sum.add(s.weight)
@@ -184,6 +258,31 @@
 	b.usual = sent.mean(0, 0.001)
 }
 
+// most is how many servers of a zone are drawn from.
+func (b *Balancer) most() int { return max(subset, 2*b.out) }
+
+// near is what is weighed: the whole of a short list, of a longer one the first servers of each zone, more of them
+// than are drawn from.
+func (b *Balancer) near(now time.Duration) []*server {
+	enough := max(weighed, 2*b.most())
+	if len(b.list) <= enough {
+		return b.list
+	}
+	b.some = b.some[:0]
+	for _, zone := range slices.Sorted(maps.Keys(b.byZone)) {
+		n := 0
+		for _, s := range b.byZone[zone] {
+			if n >= enough {
+				break
+			}
+			if b.some = append(b.some, s); s.State == Running && !b.ejected(s, now) {
+				n++
+			}
+		}
+	}
+	return b.some
+}
+
 // warmth is the part of its capacity that a server that has just started has at the least.
 func (b *Balancer) warmth(s *server, now time.Duration) float64 {
 	age := now - s.Since
@@ -469,7 +568,13 @@
 		b.send(now, r, s)
 		return
 	}
-	if len(r.tries) > 0 || r.deadline-now < r.Left/4 { // nowhere to go: say so while the client can still use it
+	// Danger: a list that is known to have no running server is not one that has yet to come: waiting helps nobody.
+	// Nor is it an overload, which would have most of what comes refused once there are servers again.
+	none := b.told && b.running == 0
+	if none && len(r.tries) == 0 {
+		b.asked.n--
+	}
+	if none || len(r.tries) > 0 || r.deadline-now < r.Left/4 { // nowhere to go: say so while the client can still use it
 		b.finish(now, r)
 		return
 	}
--- a/logic/state.go
+++ b/logic/state.go
@@ -22,6 +22,7 @@
 	turned   map[*class]*turns // of classes that it has turned away since it served one
 	weight   float64
 	place    float64
+	added    int // how many were added before it
 }
 
 // turns is how a server turns a class away.
