node: split the front from the core, and share descriptors among cores

A gateway has several clusters behind the same clients, and one client connection serves requests of any of them. The node was one object that read clients and ran the one cluster.

Front reads HTTP/1.1 and asks a Router which core takes a request; Core runs a cluster around one Balancer and answers through a Client interface, so it knows no protocol; Node is both for the platform, as before. Budget.Share gives a cluster descriptors of its own beside what nobody owns. A pool may be told which statuses are answers; the platform's stays at 200 alone. A connection that comes up after its backend began to drain or left is not used.

--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -50,6 +50,7 @@
 // Reply is how an attempt ended.
 type Reply struct {
 	Result   logic.Result
+	Status   int // 0: there is no answer to pass on
 	Header   http.Header
 	Body     []byte
 	Streamed bool
@@ -59,7 +60,7 @@
 
 // Begin is asked once an answer is known to be long: it commits the request to this attempt and gives the
 // client's writer, or nil if the request is over.
-type Begin func(header http.Header, length int64) io.Writer
+type Begin func(status int, header http.Header, length int64) io.Writer
 
 // Attempt is one send of a request to one backend.
 type Attempt struct {
@@ -170,6 +171,12 @@
 		c.drop()
 		return nil, context.Canceled
 	}
+	// Danger: a connection may be long in coming up, and the list may say meanwhile that nothing more goes there.
+	if a.up.closed.Load() {
+		a.letGo()
+		c.drop()
+		return nil, errNoAddress
+	}
 	return c, nil
 }
 
@@ -257,7 +264,7 @@
 		return Reply{Result: a.broken(err, join())}, false
 	}
 	reply.Load = resp.Header.Get("Endpoint-Load-Metrics")
-	if resp.StatusCode != http.StatusOK {
+	if !a.up.pool.answers(resp.StatusCode) {
 		reply.Result = logic.Errored
 		if s := resp.StatusCode; (s == http.StatusServiceUnavailable || s == http.StatusGatewayTimeout) &&
 			resp.Header.Get("X-Never-Ran") == "1" {
@@ -268,15 +275,23 @@
 		}
 		c.attempt = nil
 		a.extend(c, time.Now().Add(spareTime))
-		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, headLimit))
-		return reply, err == nil && n < headLimit && c.br.Buffered() == 0
+		if a.up.pool.opt.Answers == nil {
+			n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, headLimit))
+			return reply, err == nil && n < headLimit && c.br.Buffered() == 0
+		}
+		text, err := io.ReadAll(io.LimitReader(resp.Body, headLimit))
+		if err != nil || len(text) == headLimit {
+			return reply, false
+		}
+		reply.Status, reply.Header, reply.Body = resp.StatusCode, resp.Header, text
+		return reply, c.br.Buffered() == 0
 	}
 	// Where an answer ends without saying cannot be told from where it broke. Danger: one that says 3 GB keeps
 	// coming, and once its client has the head nobody else can serve the request.
-	if !delimited(resp) || resp.ContentLength > longest {
+	if !delimited(resp) && a.req.Method != http.MethodHead || resp.ContentLength > longest {
 		return Reply{Result: logic.ConnLost, Load: reply.Load}, false
 	}
-	reply.Header = resp.Header
+	reply.Status, reply.Header = resp.StatusCode, resp.Header
 	if !a.body(c, resp, begin, &reply) {
 		return reply, false
 	}
@@ -368,7 +383,7 @@
 		}
 	}
 	reply.First = time.Now()
-	w := begin(resp.Header, resp.ContentLength)
+	w := begin(resp.StatusCode, resp.Header, resp.ContentLength)
 	if w == nil {
 		reply.Result = logic.Cancelled
 		return false
@@ -412,7 +427,7 @@
 	req := &Request{Method: http.MethodGet, URI: path, Header: http.Header{}}
 	a := NewAttempt(up, req, time.Now().Add(timeout))
 	defer context.AfterFunc(ctx, a.Cancel)()
-	return a.Do(func(http.Header, int64) io.Writer { return nil })
+	return a.Do(func(int, http.Header, int64) io.Writer { return nil })
 }
 
 // ParseLoad reads a load report, "TEXT inflight=7, queue=2". What is not understood is passed over.
--- a/internal/backend/budget.go
+++ b/internal/backend/budget.go
@@ -1,19 +1,44 @@
 package backend
 
-import "sync/atomic"
+import (
+	"slices"
+	"sync"
+	"sync/atomic"
+)
+
+// Descriptors are what a pool's connections are booked on.
+type Descriptors interface {
+	Take() bool // reserves one, or tells that none is left
+	Give()
+	OnShort(fn func() bool) (leave func())
+	Used() int
+	Limit() int
+}
 
 // Budget counts the descriptors that clients and backend connections hold together.
 type Budget struct {
 	limit int64
 	used  atomic.Int64
-	evict []func() bool
+	mu    sync.Mutex
+	evict []*func() bool
 }
 
 // NewBudget makes a budget of limit descriptors.
 func NewBudget(limit int) *Budget { return &Budget{limit: int64(max(limit, 2))} }
 
-// OnShort adds a way to free a descriptor: fn closes one idle connection and tells whether there was one.
-func (b *Budget) OnShort(fn func() bool) { b.evict = append(b.evict, fn) }
+// OnShort adds a way to free a descriptor: fn closes one idle connection and tells whether there was one. What it
+// gives ends that.
+func (b *Budget) OnShort(fn func() bool) (leave func()) {
+	p := &fn
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.evict = append(slices.Clone(b.evict), p)
+	return func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.evict = slices.DeleteFunc(slices.Clone(b.evict), func(q *func() bool) bool { return q == p })
+	}
+}
 
 // Take reserves a descriptor for a dial. Where none is left an idle connection makes room, if there is one.
 func (b *Budget) Take() bool {
@@ -47,10 +72,98 @@
 
 // Room closes one idle connection, and tells whether there was one.
 func (b *Budget) Room() bool {
-	for _, fn := range b.evict {
-		if fn() {
+	b.mu.Lock()
+	evict := b.evict
+	b.mu.Unlock()
+	for _, fn := range evict {
+		if (*fn)() {
 			return true
 		}
 	}
 	return false
 }
+
+// Share is one cluster's part of a Budget: some descriptors are its own whatever the others do, the rest it takes from
+// what nobody owns.
+type Share struct {
+	of        *Budget
+	own, most int64
+	used      atomic.Int64
+	mu        sync.Mutex
+	evict     []*func() bool
+}
+
+// Share books own descriptors for one user alone, until End. It holds at most most of them; 0: as many as there are.
+func (b *Budget) Share(own, most int) *Share {
+	b.used.Add(int64(own))
+	return &Share{of: b, own: int64(own), most: int64(most)}
+}
+
+// End gives back what was booked. It is called when nothing is held any more.
+func (s *Share) End() { s.of.used.Add(-s.own) }
+
+// Limit is how many may be held.
+func (s *Share) Limit() int {
+	if s.most > 0 {
+		return int(s.most)
+	}
+	return s.of.Limit()
+}
+
+// Used is how many are held.
+func (s *Share) Used() int { return int(s.used.Load()) }
+
+// Take reserves a descriptor.
+func (s *Share) Take() bool {
+	for s.most > 0 && s.used.Load() >= s.most {
+		if !s.room() {
+			return false
+		}
+	}
+	u := s.used.Add(1)
+	if u <= s.own {
+		return true
+	}
+	if s.most > 0 && u > s.most || !s.of.Take() {
+		// One that was given back meanwhile counted as one of the Budget's, since this one stood before it.
+		if s.used.Add(-1) < s.own {
+			s.of.used.Add(1)
+		}
+		return false
+	}
+	return true
+}
+
+// Give returns a descriptor.
+func (s *Share) Give() {
+	if s.used.Add(-1) >= s.own {
+		s.of.Give()
+	}
+}
+
+func (s *Share) room() bool {
+	s.mu.Lock()
+	evict := s.evict
+	s.mu.Unlock()
+	for _, fn := range evict {
+		if (*fn)() {
+			return true
+		}
+	}
+	return false
+}
+
+// OnShort adds a way to free a descriptor. Others may use it only while more is held than is this user's own.
+func (s *Share) OnShort(fn func() bool) (leave func()) {
+	p := &fn
+	s.mu.Lock()
+	s.evict = append(slices.Clone(s.evict), p)
+	s.mu.Unlock()
+	out := s.of.OnShort(func() bool { return s.used.Load() > s.own && fn() })
+	return func() {
+		out()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.evict = slices.DeleteFunc(slices.Clone(s.evict), func(q *func() bool) bool { return q == p })
+	}
+}
--- /dev/null
+++ b/internal/backend/budget_test.go
@@ -0,0 +1,135 @@
+package backend
+
+import (
+	"math/rand/v2"
+	"sync"
+	"testing"
+)
+
+// One that takes all it can get leaves the other what is its own, and everything comes back.
+func TestSharesKeepTheirOwn(t *testing.T) {
+	b := NewBudget(20)
+	sick, well := b.Share(4, 0), b.Share(6, 0)
+	if b.Used() != 10 {
+		t.Fatalf("%d booked", b.Used())
+	}
+	held := 0
+	for sick.Take() {
+		held++
+	}
+	if held != 14 {
+		t.Errorf("the greedy one got %d, want its 4 and the 10 that nobody owns", held)
+	}
+	for i := range 6 {
+		if !well.Take() {
+			t.Fatalf("its own descriptor %d is not to be had", i)
+		}
+	}
+	if well.Take() {
+		t.Error("more than there are")
+	}
+	for range held {
+		sick.Give()
+	}
+	for range 6 {
+		well.Give()
+	}
+	if b.Used() != 10 {
+		t.Errorf("%d booked after all was given back", b.Used())
+	}
+	sick.End()
+	well.End()
+	if b.Used() != 0 {
+		t.Errorf("%d booked in the end", b.Used())
+	}
+}
+
+func TestShareHasAMost(t *testing.T) {
+	b := NewBudget(20)
+	s := b.Share(2, 5)
+	idle := 2
+	leave := s.OnShort(func() bool {
+		if idle == 0 {
+			return false
+		}
+		idle--
+		s.Give()
+		return true
+	})
+	for i := range 5 {
+		if !s.Take() {
+			t.Fatal("refused at ", i)
+		}
+	}
+	for range 2 {
+		if !s.Take() {
+			t.Error("an idle one does not make room")
+		}
+	}
+	if s.Take() || s.Used() != 5 || b.Used() != 5 {
+		t.Errorf("%d held, %d booked", s.Used(), b.Used())
+	}
+	leave()
+	if len(b.evict) != 0 || len(s.evict) != 0 {
+		t.Error("who has left is still asked")
+	}
+}
+
+// A shortage elsewhere does not cost a user the idle connections that are its own.
+func TestOwnIdleConnectionsStay(t *testing.T) {
+	b := NewBudget(8)
+	s, other := b.Share(3, 0), b.Share(0, 0)
+	closed := 0
+	s.OnShort(func() bool { closed++; s.Give(); return true })
+	for range 4 {
+		s.Take()
+	}
+	for range 5 {
+		if !other.Take() {
+			t.Fatal("refused")
+		}
+	}
+	if other.Take() {
+		t.Error("took what is another's own")
+	}
+	if closed != 1 || s.Used() != 3 {
+		t.Errorf("%d closed, %d left", closed, s.Used())
+	}
+}
+
+// Whatever the order of takes and gives, what is booked is what is held or owned.
+func TestSharesAddUp(t *testing.T) {
+	b := NewBudget(30)
+	shares := []*Share{b.Share(5, 0), b.Share(0, 10), b.Share(7, 9)}
+	var all sync.WaitGroup
+	for i := range 12 {
+		all.Go(func() {
+			rng := rand.New(rand.NewPCG(uint64(i), 1))
+			s, held := shares[i%3], 0
+			for range 20000 {
+				if held > 0 && rng.IntN(2) == 0 {
+					s.Give()
+					held--
+				} else if s.Take() {
+					held++
+				}
+			}
+			for range held {
+				s.Give()
+			}
+		})
+	}
+	all.Wait()
+	if b.Used() != 12 {
+		t.Errorf("%d booked, want the 12 that are owned", b.Used())
+	}
+	for _, s := range shares {
+		if s.Used() != 0 {
+			t.Errorf("%d held", s.Used())
+		}
+		s.End()
+	}
+	if b.Used() != 0 {
+		t.Errorf("%d booked in the end", b.Used())
+	}
+}
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -11,6 +11,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -19,12 +20,23 @@
 type Options struct {
 	ConnectTimeout time.Duration // a connection that is not up by then never was
 	IdleTimeout    time.Duration
+	// Answers tells which statuses are answers to pass on; others are failures of the backend, whose short answers
+	// come with the Reply as well. nil: 200 alone, and nothing of a failure's answer is kept.
+	Answers func(status int) bool
+}
+
+func (p *Pool) answers(status int) bool {
+	if p.opt.Answers == nil {
+		return status == 200
+	}
+	return p.opt.Answers(status)
 }
 
 // Pool keeps the idle connections of all backends.
 type Pool struct {
 	opt    Options
-	budget *Budget
+	budget Descriptors
+	leave  func() // ends the pool's part in making room
 	dialer net.Dialer
 
 	mu        sync.Mutex
@@ -40,6 +52,8 @@
 	since time.Duration
 	idle  []*conn // the one used last is at the end
 	gone  bool
+	// closed: it has left the list or is draining, and nothing new goes there.
+	closed atomic.Bool
 }
 
 // conn is a connection to a backend; it carries one request at a time.
@@ -84,7 +98,7 @@
 }
 
 // NewPool makes an empty pool whose connections count against budget.
-func NewPool(opt Options, budget *Budget) *Pool {
+func NewPool(opt Options, budget Descriptors) *Pool {
 	if opt.ConnectTimeout <= 0 {
 		opt.ConnectTimeout = 250 * time.Millisecond
 	}
@@ -93,7 +107,7 @@
 	}
 	p := &Pool{opt: opt, budget: budget, upstreams: map[*Upstream]struct{}{}}
 	p.dialer = net.Dialer{KeepAlive: -1}
-	budget.OnShort(p.evict)
+	p.leave = budget.OnShort(p.evict)
 	return p
 }
 
@@ -117,6 +131,7 @@
 
 // Retire forgets a backend that is gone or has moved. Attempts that are out end as they would have.
 func (u *Upstream) Retire() {
+	u.closed.Store(true)
 	u.pool.mu.Lock()
 	u.gone = true
 	delete(u.pool.upstreams, u)
@@ -124,6 +139,14 @@
 	u.CloseIdle()
 }
 
+// SetDraining says whether anything new may go to the backend. Attempts that have not begun by then end as not sent.
+func (u *Upstream) SetDraining(on bool) {
+	u.closed.Store(on)
+	if on {
+		u.CloseIdle()
+	}
+}
+
 // CloseIdle closes the backend's idle connections.
 func (u *Upstream) CloseIdle() {
 	u.pool.mu.Lock()
@@ -143,6 +166,7 @@
 		u.idle = nil
 	}
 	p.mu.Unlock()
+	p.leave()
 	p.discard(idle)
 }
 
--- a/internal/node/body.go
+++ b/internal/node/body.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	longestBody = 64 << 10 // the protocol's; longer ones of bad clients would eat what others' bodies need
+	LongestBody = 64 << 10 // bytes, the protocol's; longer ones of bad clients would eat what others' bodies need
 	firstPiece  = 4 << 10
 )
 
@@ -24,7 +24,8 @@
 
 type bodyBudget struct{ left atomic.Int64 }
 
-func (b *bodyBudget) take(n int64) bool {
+// Take books n bytes.
+func (b *bodyBudget) Take(n int64) bool {
 	if b.left.Add(-n) >= 0 {
 		return true
 	}
@@ -32,12 +33,15 @@
 	return false
 }
 
-// read reads a body, which is to be whole by until.
-func (n *Node) read(c *client, r *http.Request, until time.Time) (body backend.Body, took int64, err error) {
+// Give returns n bytes.
+func (b *bodyBudget) Give(n int64) { b.left.Add(n) }
+
+// read reads a body, which is to be whole by until. What it took of memory is the caller's to give back.
+func (n *Front) read(c *client, r *http.Request, memory Allowance, until time.Time) (body backend.Body, took int64, err error) {
 	if r.ContentLength == 0 || r.Body == nil {
 		return nil, 0, nil
 	}
-	if r.ContentLength > longestBody {
+	if r.ContentLength > n.longest {
 		return nil, 0, errTooLong
 	}
 	if strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
@@ -52,7 +56,7 @@
 		if r.ContentLength > 0 {
 			piece = min(piece, r.ContentLength-total+1)
 		}
-		if !n.bodies.take(piece) {
+		if !memory.Take(piece) {
 			return nil, took, errNoMemory
 		}
 		took += piece
@@ -66,7 +70,7 @@
 			k, err = r.Body.Read(part[got:])
 			got += k
 		}
-		if total += int64(got); total > longestBody {
+		if total += int64(got); total > n.longest {
 			return nil, took, errTooLong
 		}
 		if got > 0 {
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -27,7 +27,7 @@
 
 type client struct {
 	*net.TCPConn
-	node          *Node
+	front         *Front
 	br            *bufio.Reader
 	quiet         atomic.Int64 // since when nothing is asked or read, on the node's clock; 0: something is
 	busy, writing atomic.Bool  // a request is with the module; its answer is being written
@@ -52,7 +52,7 @@
 		return nil
 	}
 	err := c.TCPConn.Close()
-	c.node.conns.remove(c)
+	c.front.conns.remove(c)
 	return err
 }
 
@@ -114,7 +114,7 @@
 		c.reject(http.StatusBadRequest, text)
 		return false
 	}
-	return c.node.request(c, r, until)
+	return c.front.request(c, r, until)
 }
 
 // head waits for the head of a request and gives it, still in the buffer.
@@ -159,7 +159,8 @@
 	return length, coded
 }
 
-func (c *client) watch(q *request) bool {
+// watch waits for the end of a request; false if the connection ends with it.
+func (c *client) watch(core *Core, q *Request, x *exchange) bool {
 	_, err := c.br.Peek(1)
 	switch {
 	case err == nil: // the next request, or one that comes too early
@@ -169,22 +170,22 @@
 			select {
 			case <-q.done:
 			case <-guard.C:
-				c.node.abandon(q)
+				core.Abandon(q)
 			}
 		}
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		if !q.isDone() {
-			c.node.abandon(q)
+			core.Abandon(q)
 		}
-		if <-q.done; !q.last {
+		if <-q.done; !x.last {
 			c.SetReadDeadline(time.Now().Add(clientIdle))
 		}
 	default: // the client left, or has ended its sending and may yet read
-		c.node.abandon(q)
+		core.Abandon(q)
 		<-q.done
 		return false
 	}
-	if <-q.done; q.last {
+	if <-q.done; x.last {
 		c.hangUp()
 		return false
 	}
@@ -198,25 +199,28 @@
 }
 
 func (c *client) reject(status int, text string) {
-	c.write(answer{status: status, body: []byte(text + "\n")}, true)
+	c.write(Answer{Status: status, Body: []byte(text + "\n")}, true)
 	c.hangUp()
 }
 
 // write writes a whole answer.
-func (c *client) write(a answer, last bool) error {
+func (c *client) write(a Answer, last bool) error {
 	p := buffers.Get().(*[]byte)
 	defer buffers.Put(p)
-	b := appendHead((*p)[:0], a.status, a.header, last)
-	if a.retryAfter > 0 {
-		b = append(strconv.AppendFloat(append(b, "Retry-After: "...), a.retryAfter.Seconds(), 'f', 3, 64), "\r\n"...)
+	b := appendHead((*p)[:0], a.Status, a.Header, last)
+	if a.RetryAfter > 0 {
+		b = append(strconv.AppendFloat(append(b, "Retry-After: "...), a.RetryAfter.Seconds(), 'f', 3, 64), "\r\n"...)
 	}
-	b = append(strconv.AppendInt(append(b, "Content-Length: "...), int64(len(a.body)), 10), "\r\n\r\n"...)
+	if a.Status != http.StatusNoContent && a.Status != http.StatusNotModified { // which have none, RFC 9110, 8.6
+		b = append(strconv.AppendInt(append(b, "Content-Length: "...), int64(len(a.Body)), 10), "\r\n"...)
+	}
+	b = append(b, "\r\n"...)
 	c.SetWriteDeadline(time.Now().Add(clientStall))
-	if !a.noBody && len(a.body) > 0 {
-		if len(b)+len(a.body) <= cap(b) {
-			b = append(b, a.body...)
+	if !a.noBody && len(a.Body) > 0 {
+		if len(b)+len(a.Body) <= cap(b) {
+			b = append(b, a.Body...)
 		} else {
-			parts := net.Buffers{b, a.body}
+			parts := net.Buffers{b, a.Body}
 			_, err := parts.WriteTo(c.TCPConn)
 			return err
 		}
@@ -225,6 +229,54 @@
 	return err
 }
 
+// exchange is one request of the connection, as its core sees it.
+type exchange struct {
+	c          *client
+	wantsClose bool
+	noBody     bool
+	last       bool // the connection ends with the answer; set before the request is done
+	stream     *stream
+}
+
+var (
+	longAgo   = time.Unix(1, 0)
+	errBroken = errors.New("the answer broke off")
+)
+
+// finish writes an answer and lets the client's connection go on, or end.
+func (x *exchange) finish(write func(last bool) error) {
+	c := x.c
+	x.last = c.front.last(x.wantsClose)
+	c.writing.Store(true)
+	c.front.conns.rest(c)
+	if write(x.last) != nil {
+		x.last = true
+	}
+	c.writing.Store(false)
+	if x.last {
+		c.SetReadDeadline(longAgo) // wakes the reader, to close the connection
+	}
+}
+
+func (x *exchange) Answer(a Answer) {
+	a.noBody = x.noBody
+	x.finish(func(last bool) error { return x.c.write(a, last) })
+}
+
+func (x *exchange) Begin(status int, h http.Header, length int64) io.Writer {
+	x.stream = x.c.begin(status, h, length, x.wantsClose || x.c.front.stopping.Load())
+	return x.stream
+}
+
+func (x *exchange) End(whole bool) {
+	x.finish(func(bool) error {
+		if !whole {
+			return errBroken
+		}
+		return x.stream.Close()
+	})
+}
+
 type stream struct {
 	c    *client
 	body io.Writer
@@ -232,10 +284,10 @@
 }
 
 // begin writes the head of a long answer.
-func (c *client) begin(h http.Header, length int64, last bool) *stream {
+func (c *client) begin(status int, h http.Header, length int64, last bool) *stream {
 	p := buffers.Get().(*[]byte)
 	defer buffers.Put(p)
-	b := appendHead((*p)[:0], http.StatusOK, h, last)
+	b := appendHead((*p)[:0], status, h, last)
 	s := &stream{c: c, body: c.TCPConn}
 	if length >= 0 {
 		b = append(strconv.AppendInt(append(b, "Content-Length: "...), length, 10), "\r\n"...)
--- a/internal/node/conns.go
+++ b/internal/node/conns.go
@@ -121,18 +121,18 @@
 
 // Serve accepts clients on l and serves them until l is closed. Nothing else ends it: where accepting fails,
 // for want of a descriptor mostly, room is made, as what waits in the backlog counts as taken.
-func (n *Node) Serve(l net.Listener) {
+func (n *Front) Serve(l net.Listener) {
 	for {
 		nc, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
 		if err != nil {
-			n.opt.Budget.Room()
+			n.conns.budget.Room()
 			time.Sleep(acceptRetry)
 			continue
 		}
-		k := &client{TCPConn: nc.(*net.TCPConn), node: n}
+		k := &client{TCPConn: nc.(*net.TCPConn), front: n}
 		n.conns.add(k)
 		go k.serve()
 	}
--- /dev/null
+++ b/internal/node/core.go
@@ -0,0 +1,484 @@
+// Package node carries out what the decision module decides: its fronts take clients' requests, a core runs the
+// attempts that the module asks for, and gives each request its one final answer. It decides nothing itself.
+package node
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"arrowhitch/internal/backend"
+	"arrowhitch/internal/discovery"
+	"arrowhitch/logic"
+)
+
+const (
+	probeTime = 500 * time.Millisecond
+	logGap    = 200 * time.Millisecond // between two lines of the module
+)
+
+// Options are what a core is told beside the module's settings.
+type Options struct {
+	Settings    logic.Settings
+	Seed        uint64
+	MaxOpen     int  // requests in hand; 0: no limit
+	LoadReports bool // answers or probes carry them
+	ProbePath   string
+	BodyBytes   int64 // for all requests' bodies together
+	Budget      *backend.Budget
+	// Open bounds the requests in hand beside MaxOpen, over all cores that share it; nil: no limit.
+	Open Allowance
+	// Memory is what the requests' bodies are booked on; nil: the front's own.
+	Memory Allowance
+	// Source is asked for the list where the module decides when to ask; nil where nothing is asked for.
+	Source Source
+}
+
+// Allowance is a part of what several cores share. Its methods may be called by several goroutines at once.
+type Allowance interface {
+	Take(n int64) bool // books n, or tells that they are not to be had
+	Give(n int64)      // ends that
+}
+
+// Source is where the list of backends is asked for.
+type Source interface {
+	Watch(on bool)
+	Fetch()
+}
+
+// Client is where a request's one final answer goes: Answer is called once, or Begin and, once the answer has ended,
+// End. It is not called once the request's Done channel is closed.
+type Client interface {
+	Answer(a Answer)
+	// Begin gives the head of an answer whose body is long and where the body goes. A write fails where the client
+	// has left or stands still.
+	Begin(status int, h http.Header, length int64) io.Writer
+	// End ends it. Where it is not whole the client must be able to tell.
+	End(whole bool)
+}
+
+// Answer is a request's one final answer.
+type Answer struct {
+	Status     int
+	RetryAfter time.Duration // 0: not said
+	Header     http.Header
+	Body       []byte
+	noBody     bool // the client asked for the head only
+}
+
+// Request is a client's request as a front hands it over. A front makes one for each and leaves it alone until Done.
+type Request struct {
+	Words  logic.Request // its ID is the core's alone
+	Send   backend.Request
+	Client Client
+	Held   int64 // bytes of the Allowance that end with it
+
+	id       string
+	deadline time.Time
+	attempts []*backend.Attempt
+	running  int
+	answered bool
+	answer   Answer
+	failed   *Answer          // a backend's own word of its failure
+	stream   *backend.Attempt // whose long answer is being passed on
+	memory   Allowance
+	done     chan struct{} // closed when the answer is written
+}
+
+type request = Request
+
+// Done is closed when the answer is written. It is nil before the request is taken.
+func (q *Request) Done() <-chan struct{} { return q.done }
+
+func (q *Request) isDone() bool {
+	select {
+	case <-q.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// Core runs the requests of one cluster: it carries out what one Balancer decides, knows no client's protocol, and
+// gives each request one final answer.
+type Core struct {
+	opt     Options
+	classes map[string]time.Duration // their deadlines
+	pool    *backend.Pool
+	boot    time.Time
+	base    time.Duration // boot as Unix time
+	life    context.Context
+	end     context.CancelFunc
+	work    sync.WaitGroup // attempts and probes
+
+	ready atomic.Bool
+
+	mu        sync.Mutex
+	bal       *logic.Balancer
+	requests  map[string]*request // in hand: unanswered, or with attempts out
+	open      int                 // unanswered
+	upstreams map[string]*backend.Upstream
+	logged    time.Time
+	settled   []*request // to be told their answer once the lock is free
+	retired   bool
+	idle      chan struct{} // closed when it is retired and nothing is in hand
+}
+
+// NewCore makes a core whose attempts go through pool.
+func NewCore(opt Options, pool *backend.Pool) (*Core, error) {
+	n := &Core{opt: opt, pool: pool, boot: time.Now(), classes: map[string]time.Duration{}, idle: make(chan struct{}),
+		requests: map[string]*request{}, upstreams: map[string]*backend.Upstream{}}
+	n.base = time.Duration(n.boot.UnixNano())
+	n.life, n.end = context.WithCancel(context.Background())
+	for _, c := range opt.Settings.Classes {
+		n.classes[c.Name] = c.Deadline
+	}
+	var err error
+	n.bal, err = logic.New(opt.Settings, opt.Seed, (*host)(n))
+	return n, err
+}
+
+// Deadline is how long a request of a class may take over all its tries; 0 if there is no such class.
+func (n *Core) Deadline(class string) time.Duration { return n.classes[class] }
+
+// Ready tells whether a list has come.
+func (n *Core) Ready() bool { return n.ready.Load() }
+
+// Clock is the core's reading of the time, as Unix time: what Server.Since is told on.
+func (n *Core) Clock() time.Duration { return n.now() }
+
+// Take has the core see to a request. Where it does not, the status says why and nothing else happens: 409 where the
+// ID is in hand, 503 where there are too many, 0 with false where the core is retired and another may take it.
+func (n *Core) Take(q *Request) (status int, ok bool) {
+	n.do(func(now time.Duration) {
+		switch {
+		case n.retired:
+		case n.requests[q.Words.ID] != nil:
+			status = http.StatusConflict
+		case n.opt.MaxOpen > 0 && n.open >= n.opt.MaxOpen, n.opt.Open != nil && !n.opt.Open.Take(1):
+			status = http.StatusServiceUnavailable
+		default:
+			ok = true
+			q.id, q.done, q.memory = q.Words.ID, make(chan struct{}), n.opt.Memory
+			n.requests[q.id] = q
+			n.open++
+			q.deadline = n.boot.Add(now - n.base + q.Words.Left)
+			n.bal.Request(now, q.Words)
+		}
+	})
+	return status, ok
+}
+
+// Abandon ends a request whose client has left, or whose time is over.
+func (n *Core) Abandon(q *Request) {
+	n.do(func(now time.Duration) {
+		if n.settle(q, Answer{Status: http.StatusBadGateway}) {
+			n.bal.Gone(now, q.id)
+			n.release(q)
+		}
+	})
+}
+
+// Retire has the core take nothing more. What it gives is closed once nothing is in hand.
+func (n *Core) Retire() <-chan struct{} {
+	n.do(func(time.Duration) {
+		if !n.retired {
+			n.retired = true
+			n.emptied()
+		}
+	})
+	return n.idle
+}
+
+func (n *Core) emptied() {
+	if n.retired && len(n.requests) == 0 {
+		select {
+		case <-n.idle:
+		default:
+			close(n.idle)
+		}
+	}
+}
+
+// InHand is how many requests have no answer yet.
+func (n *Core) InHand() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.open
+}
+
+func (n *Core) now() time.Duration { return n.base + time.Since(n.boot) }
+
+func (n *Core) do(event func(now time.Duration)) {
+	for _, r := range n.locked(event) {
+		r.Client.Answer(r.answer)
+		close(r.done)
+	}
+}
+
+func (n *Core) locked(event func(now time.Duration)) []*request {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	event(n.now())
+	settled := n.settled
+	n.settled = nil
+	return settled
+}
+
+// Fleet takes news of the list.
+func (n *Core) Fleet(u discovery.Update) {
+	n.do(func(now time.Duration) {
+		if u.Kind != logic.FleetRefused {
+			n.follow(u)
+		}
+		n.bal.Fleet(now, u.FleetUpdate)
+	})
+	if u.Kind == logic.FleetAll || u.Kind == logic.FleetChanges || len(u.Servers) > 0 {
+		n.ready.Store(true)
+	}
+}
+
+// follow brings the pools up to date.
+func (n *Core) follow(u discovery.Update) {
+	if u.Kind != logic.FleetChanges {
+		for uid := range n.upstreams {
+			if _, ok := u.Endpoints[uid]; !ok {
+				n.retire(uid)
+			}
+		}
+	}
+	for _, s := range u.Servers {
+		addr, ok := u.Endpoints[s.ID]
+		old := n.upstreams[s.ID]
+		switch {
+		case !ok:
+			n.retire(s.ID)
+		case old == nil:
+			n.upstreams[s.ID] = n.pool.Upstream(addr, s.Since)
+		case old.Addr() != addr || old.Since() != s.Since:
+			n.retire(s.ID)
+			n.upstreams[s.ID] = n.pool.Upstream(addr, s.Since)
+		}
+		if up := n.upstreams[s.ID]; up != nil {
+			up.SetDraining(s.State == logic.Draining)
+		}
+	}
+}
+
+func (n *Core) retire(uid string) {
+	if u := n.upstreams[uid]; u != nil {
+		u.Retire()
+		delete(n.upstreams, uid)
+	}
+}
+
+// attempt runs one attempt and reports how it ended.
+func (n *Core) attempt(r *request, i int, a *backend.Attempt) {
+	defer n.work.Done()
+	sent := time.Now()
+	reply := backend.Reply{Result: logic.NotSent}
+	streams := false
+	if a != nil {
+		reply = a.Do(func(status int, h http.Header, length int64) io.Writer {
+			if !n.begin(r, i) {
+				return nil
+			}
+			streams = true
+			return r.Client.Begin(status, h, length)
+		})
+	}
+	o := logic.Outcome{ID: r.id, Attempt: i, Result: reply.Result, Took: time.Since(sent)}
+	if n.opt.LoadReports {
+		o.Load = backend.ParseLoad(reply.Load)
+	}
+	if streams {
+		o.Took = reply.First.Sub(sent)
+		r.Client.End(reply.Result == logic.Served)
+		close(r.done)
+	}
+	n.do(func(now time.Duration) {
+		r.running--
+		switch own := (Answer{Status: reply.Status, Header: reply.Header, Body: reply.Body}); {
+		case streams:
+			r.stream = nil
+		case reply.Result == logic.Served:
+			n.settle(r, own)
+		case reply.Status != 0:
+			r.failed = &own
+		}
+		o.Done = r.answered && r.stream == nil
+		n.bal.Outcome(now, o)
+		n.release(r)
+	})
+}
+
+func (n *Core) begin(r *request, i int) (ok bool) {
+	n.do(func(now time.Duration) {
+		if ok = !r.answered; ok {
+			r.answered, r.stream = true, r.attempts[i]
+			n.close()
+			n.bal.Started(now, r.id, i)
+		}
+	})
+	return ok
+}
+
+// close counts a request as answered.
+func (n *Core) close() {
+	n.open--
+	if n.opt.Open != nil {
+		n.opt.Open.Give(1)
+	}
+}
+
+func (n *Core) settle(r *request, a Answer) bool {
+	if r == nil || r.answered {
+		return false
+	}
+	r.answered, r.answer = true, a
+	n.close()
+	n.settled = append(n.settled, r)
+	return true
+}
+
+// release forgets a request that is answered and has nothing out.
+func (n *Core) release(r *request) {
+	if r.answered && r.running == 0 && n.requests[r.id] == r {
+		delete(n.requests, r.id)
+		if r.memory != nil {
+			r.memory.Give(r.Held)
+		}
+		n.emptied()
+	}
+}
+
+// upstream is where a server is, or nowhere if it has left the list.
+func (n *Core) upstream(server string) *backend.Upstream {
+	if up := n.upstreams[server]; up != nil {
+		return up
+	}
+	return n.pool.Nowhere()
+}
+
+// host is the Core as the module sees it: its methods are called with the lock held.
+type host Core
+
+func (h *host) Send(id, server string, expire time.Duration) {
+	n := (*Core)(h)
+	r := n.requests[id]
+	if r == nil {
+		return
+	}
+	i := len(r.attempts)
+	r.running++
+	deadline := r.deadline
+	if expire > 0 {
+		if t := n.boot.Add(expire - n.base); t.Before(deadline) {
+			deadline = t
+		}
+	}
+	var a *backend.Attempt
+	if !r.answered && i < max(n.opt.Settings.MaxAttempts, 1) {
+		a = backend.NewAttempt(n.upstream(server), &r.Send, deadline)
+	}
+	r.attempts = append(r.attempts, a)
+	n.work.Add(1)
+	go n.attempt(r, i, a)
+}
+
+func (h *host) Refuse(id string, retryAfter time.Duration) {
+	h.answer(id, Answer{Status: http.StatusServiceUnavailable, RetryAfter: retryAfter})
+}
+
+func (h *host) Fail(id string) {
+	a := Answer{Status: http.StatusBadGateway}
+	if r := h.requests[id]; r != nil && r.failed != nil { // the backend's own word says more
+		a = *r.failed
+	}
+	h.answer(id, a)
+}
+
+func (h *host) answer(id string, a Answer) {
+	n := (*Core)(h)
+	if r := n.requests[id]; n.settle(r, a) {
+		n.release(r)
+	}
+}
+
+func (h *host) Cancel(id string, i int) {
+	if r := h.requests[id]; r != nil && i >= 0 && i < len(r.attempts) && r.attempts[i] != nil &&
+		r.attempts[i] != r.stream { // what the client is getting is not called off
+		r.attempts[i].Cancel()
+	}
+}
+
+func (h *host) Probe(server string) {
+	n := (*Core)(h)
+	up := n.upstream(server)
+	n.work.Go(func() {
+		sent := time.Now()
+		reply := backend.Probe(n.life, up, n.opt.ProbePath, probeTime)
+		p := logic.ProbeResult{Server: server, Result: reply.Result, Took: time.Since(sent)}
+		if n.opt.LoadReports {
+			p.Load = backend.ParseLoad(reply.Load)
+			if p.Load == nil {
+				p.Load = backend.ParseLoad(string(reply.Body))
+			}
+		}
+		n.do(func(now time.Duration) { n.bal.Probed(now, p) })
+	})
+}
+
+func (h *host) CloseIdle(server string) {
+	if up := h.upstreams[server]; up != nil {
+		up.CloseIdle()
+	}
+}
+
+func (h *host) SetTimer(token uint64, after time.Duration) {
+	n := (*Core)(h)
+	time.AfterFunc(max(after, 0), func() {
+		if n.life.Err() == nil {
+			n.do(func(now time.Duration) { n.bal.Timer(now, token) })
+		}
+	})
+}
+
+func (h *host) Watch(on bool) {
+	if h.opt.Source != nil {
+		h.opt.Source.Watch(on)
+	}
+}
+
+func (h *host) Fetch() {
+	if h.opt.Source != nil {
+		h.opt.Source.Fetch()
+	}
+}
+
+func (h *host) Log(text string) {
+	if t := time.Now(); t.Sub(h.logged) >= logGap {
+		h.logged = t
+		slog.Info(text)
+	}
+}
+
+// Close ends what the core still runs: attempts are called off, and what they were for is answered by the module.
+func (n *Core) Close() {
+	n.end()
+	n.mu.Lock()
+	for _, r := range n.requests {
+		for _, a := range r.attempts {
+			if a != nil {
+				a.Cancel()
+			}
+		}
+	}
+	n.mu.Unlock()
+	n.work.Wait()
+	n.pool.Close()
+}
--- /dev/null
+++ b/internal/node/front.go
@@ -0,0 +1,69 @@
+package node
+
+import (
+	"net/http"
+	"sync/atomic"
+
+	"arrowhitch/internal/backend"
+	"arrowhitch/logic"
+)
+
+// reroutes is how often a request may be routed: its core can be retired while its body comes.
+const reroutes = 4
+
+// Router says where requests go. Route may be called by several goroutines at once, and again for a request whose
+// core was retired meanwhile; it neither reads the body nor keeps or changes r.
+type Router interface {
+	Route(r *http.Request) Destination
+}
+
+// Destination is the core that takes a request and the words it gets, or, where Core is nil, the answer at once.
+type Destination struct {
+	Core   *Core
+	Words  logic.Request // Left is positive
+	Status int
+	Text   string
+	Close  bool // the connection ends with that answer
+}
+
+// Front serves clients over HTTP/1.1: whole requests in, one final answer each. Which core takes a request is its
+// Router's to say.
+type Front struct {
+	router  Router
+	longest int64 // of a body
+	conns   *conns
+	bodies  bodyBudget
+
+	stopping, ending atomic.Bool
+}
+
+// FrontOptions bound a front.
+type FrontOptions struct {
+	Budget      *backend.Budget // of descriptors; clients' connections count against it
+	BodyBytes   int64           // for bodies whose core has no Memory of its own
+	LongestBody int64           // bytes; 0: LongestBody
+	Router      Router
+}
+
+// NewFront makes a front.
+func NewFront(opt FrontOptions) *Front {
+	f := &Front{router: opt.Router, longest: opt.LongestBody, conns: newConns(opt.Budget)}
+	if f.longest <= 0 {
+		f.longest = LongestBody
+	}
+	f.bodies.left.Store(opt.BodyBytes)
+	return f
+}
+
+func (f *Front) last(wantsClose bool) bool {
+	return wantsClose || f.stopping.Load() || f.conns.crowded()
+}
+
+// Stopping tells whether Stop was called.
+func (f *Front) Stopping() bool { return f.stopping.Load() }
+
+// Conns is how many clients are connected.
+func (f *Front) Conns() int { return len(f.conns.list()) }
+
+// Shut closes what is idle.
+func (f *Front) Shut() { f.conns.shut(0) }
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -8,44 +8,48 @@
 	"strings"
 	"sync"
 	"time"
-
-	"arrowhitch/logic"
 )
 
+const guardTime = 15 * time.Millisecond
+
 // buffers hold the heads of answers, and whole short ones.
 var buffers = sync.Pool{New: func() any { b := make([]byte, 0, 8<<10); return &b }}
 
 // request takes a client's request, whose body is to be whole by until, and sees to its answer; false if the
 // connection ends with it.
-func (n *Node) request(c *client, r *http.Request, until time.Time) bool {
+func (n *Front) request(c *client, r *http.Request, until time.Time) bool {
 	c.served.Store(true)
-	id := r.Header.Get("X-Trace-Id")
+	d := n.router.Route(r)
 	switch {
-	case r.URL.Path == "/health/ready":
-		status := http.StatusServiceUnavailable
-		if n.ready.Load() && !n.stopping.Load() {
-			status = http.StatusOK
-		}
+	case d.Core == nil && (d.Close || r.ContentLength != 0): // a body that nobody reads stands before the next request
+		c.reject(d.Status, d.Text)
+		return false
+	case d.Core == nil:
 		last := n.last(r.Close)
 		n.conns.rest(c)
-		if c.write(answer{status: status}, last) != nil {
+		a := Answer{Status: d.Status, noBody: r.Method == http.MethodHead}
+		if d.Text != "" {
+			a.Body = []byte(d.Text + "\n")
+		}
+		if c.write(a, last) != nil {
 			return false
 		}
 		if last {
 			c.hangUp()
 		}
 		return !last
-	case id == "":
-		c.reject(http.StatusBadRequest, "X-Trace-Id is missing")
-		return false
 	case n.conns.full():
 		c.reject(http.StatusServiceUnavailable, "too many connections")
 		return false
 	}
-	q := &request{id: id, client: c, done: make(chan struct{}), wantsClose: r.Close, noBody: r.Method == http.MethodHead}
+	memory := d.Core.opt.Memory
+	if memory == nil {
+		memory = &n.bodies
+	}
+	q := &Request{}
 	var err error
-	if q.send.Body, q.body, err = n.read(c, r, until); err != nil {
-		n.bodies.left.Add(q.body)
+	if q.Send.Body, q.Held, err = n.read(c, r, memory, until); err != nil {
+		memory.Give(q.Held)
 		status := http.StatusBadRequest
 		switch {
 		case errors.Is(err, errTooLong):
@@ -61,61 +65,38 @@
 	// Danger: clients send one request at a time, so what stands behind one belongs to its body, whose length was
 	// given wrong, or is meant to be taken for somebody else's request.
 	if c.br.Buffered() > 0 {
-		n.bodies.left.Add(q.body)
+		memory.Give(q.Held)
 		c.reject(http.StatusBadRequest, "more came than the request")
 		return false
 	}
-	words := n.words(r, id) // before the header loses what concerns this connection only, its time with it
-	q.send.Method, q.send.URI, q.send.Host, q.send.Header = r.Method, r.URL.RequestURI(), r.Host, endToEnd(r.Header)
+	x := &exchange{c: c, wantsClose: r.Close, noBody: r.Method == http.MethodHead}
+	q.Client = x
+	// d's words were taken before the header loses what concerns this connection only, its time with it.
+	q.Send.Method, q.Send.URI, q.Send.Host = r.Method, r.URL.RequestURI(), r.Host
+	header := endToEnd(r.Header)
+	q.Send.Header = header
 	c.busy.Store(true)
 	defer c.busy.Store(false)
-	c.SetReadDeadline(time.Now().Add(words.Left + guardTime))
-	if status := n.take(q, words); status != 0 {
-		n.bodies.left.Add(q.body)
-		c.reject(status, http.StatusText(status))
-		return false
-	}
-	return c.watch(q)
-}
-
-func (n *Node) last(wantsClose bool) bool {
-	return wantsClose || n.stopping.Load() || n.conns.crowded()
-}
-
-func (n *Node) take(q *request, words logic.Request) (status int) {
-	n.do(func(now time.Duration) {
+	for range reroutes {
+		q.Words = d.Words
+		c.SetReadDeadline(time.Now().Add(q.Words.Left + guardTime))
+		status, ok := d.Core.Take(q)
 		switch {
-		case n.requests[q.id] != nil:
-			status = http.StatusConflict
-		case n.opt.MaxOpen > 0 && n.open >= n.opt.MaxOpen:
-			status = http.StatusServiceUnavailable
-		default:
-			n.requests[q.id] = q
-			n.open++
-			q.deadline = n.boot.Add(now - n.base + words.Left)
-			n.bal.Request(now, words)
+		case ok:
+			return c.watch(d.Core, q, x)
+		case status == 0: // its core was retired while the body came
+			if d = n.router.Route(r); d.Core != nil {
+				continue
+			}
+			status = d.Status
 		}
-	})
-	return status
-}
-
-func (n *Node) words(r *http.Request, id string) logic.Request {
-	h := r.Header
-	q := logic.Request{ID: id, Class: h.Get("X-Qos"), Tenant: h.Get("X-Customer"), Retry: h.Get("X-Second-Try") == "1"}
-	if q.Class == "" {
-		q.Class, _, _ = strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
-	}
-	if r.URL.RawQuery != "" {
-		q.Key = r.URL.Query().Get("obj")
-	}
-	if us, err := strconv.ParseInt(h.Get("X-Size-Hint"), 10, 64); err == nil && us > 0 && us < 1<<40 {
-		q.Work = time.Duration(us) * time.Microsecond
-	}
-	q.Left = n.classes[q.Class]
-	if ms, err := strconv.ParseInt(h.Get("X-Expires-In-Ms"), 10, 64); err == nil && ms > 0 && ms < int64(q.Left/time.Millisecond) {
-		q.Left = time.Duration(ms) * time.Millisecond
+		memory.Give(q.Held)
+		c.reject(status, http.StatusText(status))
+		return false
 	}
-	return q
+	memory.Give(q.Held)
+	c.reject(http.StatusServiceUnavailable, "the routes keep changing")
+	return false
 }
 
 // malformed tells what is wrong with a request that net/http's parser lets through, if anything.
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -12,12 +12,14 @@
 	lastCall = 100 * time.Millisecond
 )
 
-// Stop ends the node without losing a request: it goes on accepting while the front still sends, has every
+// Stop ends the front without losing a request: it goes on accepting while the front still sends, has every
 // client close behind its answer, closes what is idle and waits for the rest, until ctx ends.
-func (n *Node) Stop(ctx context.Context, l net.Listener) {
+func (n *Front) Stop(ctx context.Context, listeners ...net.Listener) {
 	n.stopping.Store(true)
 	pause(ctx, acceptOn)
-	l.Close()
+	for _, l := range listeners {
+		l.Close()
+	}
 	end, _ := ctx.Deadline()
 	call := time.AfterFunc(time.Until(end)-lastCall, func() {
 		n.ending.Store(true)
@@ -40,26 +42,6 @@
 	}
 }
 
-// Close ends what the node still runs.
-func (n *Node) Close() {
-	n.end()
-	if n.news != nil {
-		n.news.Stop()
-	}
-	n.mu.Lock()
-	for _, r := range n.requests {
-		for _, a := range r.attempts {
-			if a != nil {
-				a.Cancel()
-			}
-		}
-	}
-	n.mu.Unlock()
-	n.work.Wait()
-	n.pool.Close()
-	n.conns.shut(0)
-}
-
 func pause(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
