--- a/internal/backend/budget.go
+++ b/internal/backend/budget.go
@@ -86,24 +86,37 @@
 // Share is one cluster's part of a Budget: some descriptors are its own whatever the others do, the rest it takes from
 // what nobody owns.
 type Share struct {
-	of        *Budget
-	own, most int64
-	used      atomic.Int64
+	of *Budget
+
 	mu        sync.Mutex
+	own, most int64
+	used      int64
 	evict     []*func() bool
 }
 
 // Share books own descriptors for one user alone, until End. It holds at most most of them; 0: as many as there are.
 func (b *Budget) Share(own, most int) *Share {
-	b.used.Add(int64(own))
-	return &Share{of: b, own: int64(own), most: int64(most)}
+	s := &Share{of: b}
+	s.Resize(own, most)
+	return s
+}
+
+// Resize changes what is its own and the most that it may hold. What it holds stays.
+func (s *Share) Resize(own, most int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	booked := func(own int64) int64 { return own + max(s.used-own, 0) }
+	s.of.used.Add(booked(int64(own)) - booked(s.own))
+	s.own, s.most = int64(own), int64(most)
 }
 
-// End gives back what was booked. It is called when nothing is held any more.
-func (s *Share) End() { s.of.used.Add(-s.own) }
+// End gives back what is its own. What it still holds goes back with each Give.
+func (s *Share) End() { s.Resize(0, 0) }
 
 // Limit is how many may be held.
 func (s *Share) Limit() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if s.most > 0 {
 		return int(s.most)
 	}
@@ -111,36 +124,52 @@
 }
 
 // Used is how many are held.
-func (s *Share) Used() int { return int(s.used.Load()) }
+func (s *Share) Used() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return int(s.used)
+}
 
-// Take reserves a descriptor.
+// Take reserves a descriptor. Where none is left an idle connection makes room, if there is one.
 func (s *Share) Take() bool {
-	for s.most > 0 && s.used.Load() >= s.most {
+	s.mu.Lock()
+	for s.most > 0 && s.used >= s.most {
+		s.mu.Unlock()
 		if !s.room() {
 			return false
 		}
+		s.mu.Lock()
 	}
-	u := s.used.Add(1)
-	if u <= s.own {
+	s.used++
+	own := s.used <= s.own
+	s.mu.Unlock()
+	if own || s.of.Take() { // not under the lock: room is made by giving back, maybe here
 		return true
 	}
-	if s.most > 0 && u > s.most || !s.of.Take() {
-		// One that was given back meanwhile counted as one of the Budget's, since this one stood before it.
-		if s.used.Add(-1) < s.own {
-			s.of.used.Add(1)
-		}
-		return false
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	// One that was given back meanwhile counted as one of the Budget's, since this one stood before it.
+	if s.used--; s.used < s.own {
+		s.of.used.Add(1)
 	}
-	return true
+	return false
 }
 
 // Give returns a descriptor.
 func (s *Share) Give() {
-	if s.used.Add(-1) >= s.own {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.used--; s.used >= s.own {
 		s.of.Give()
 	}
 }
 
+func (s *Share) beyondItsOwn() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.used > s.own
+}
+
 func (s *Share) room() bool {
 	s.mu.Lock()
 	evict := s.evict
@@ -159,7 +188,7 @@
 	s.mu.Lock()
 	s.evict = append(slices.Clone(s.evict), p)
 	s.mu.Unlock()
-	out := s.of.OnShort(func() bool { return s.used.Load() > s.own && fn() })
+	out := s.of.OnShort(func() bool { return s.beyondItsOwn() && fn() })
 	return func() {
 		out()
 		s.mu.Lock()
--- a/internal/backend/budget_test.go
+++ b/internal/backend/budget_test.go
@@ -106,7 +106,10 @@
 		all.Go(func() {
 			rng := rand.New(rand.NewPCG(uint64(i), 1))
 			s, held := shares[i%3], 0
-			for range 20000 {
+			for k := range 20000 {
+				if i == 0 && k%100 == 0 {
+					s.Resize(rng.IntN(9), 0)
+				}
 				if held > 0 && rng.IntN(2) == 0 {
 					s.Give()
 					held--
@@ -120,6 +123,7 @@
 		})
 	}
 	all.Wait()
+	shares[0].Resize(5, 0)
 	if b.Used() != 12 {
 		t.Errorf("%d booked, want the 12 that are owned", b.Used())
 	}
