config, membership: a strict file for the gateway, one view of a cluster's endpoints

A gateway with several clusters needs a file that is refused as a whole, with every error at its line, before anything starts; and sources as different as a file and a control plane have to reach the decision module in one form.

internal/config reads YAML nodes by struct tags, remembers where each field stands and gives all errors at once in the order of the lines; all defaults stand in one file, and Print shows them. internal/membership keeps the last word on a cluster, tells the decision module what changed, and says why an endpoint is out. Those that come later, come back or are others at the same address are new and so cold.

--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,578 @@
+// Package config is the gateway's file: its schema, its defaults and what makes it unusable. A file is read and checked
+// as a whole before anything starts; all that is wrong with it comes at once, each with file, line, column and field.
+package config
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"arrowhitch/internal/route"
+
+	"go.yaml.in/yaml/v3"
+)
+
+// File is the whole of it.
+type File struct {
+	Zone      string     `yaml:"zone"`    // where this gateway stands
+	Gateway   Gateway    `yaml:"gateway"` // which one it is
+	Listeners []Listener `yaml:"listeners"`
+	Admin     Admin      `yaml:"admin"`
+	Log       Log        `yaml:"log"`
+	Limits    Limits     `yaml:"limits"`
+	Classes   []Class    `yaml:"classes"`
+	XDS       *XDS       `yaml:"xds,omitempty"`
+	Clusters  []Cluster  `yaml:"clusters"`
+	Routes    []Route    `yaml:"routes"`
+
+	path string
+	dir  string
+}
+
+// Gateway is this one among those before the same servers.
+type Gateway struct {
+	Number int `yaml:"number"` // from 0
+	Of     int `yaml:"of"`
+}
+
+// Listener is where clients connect, over HTTP/1.1.
+type Listener struct {
+	Name    string `yaml:"name"`
+	Address string `yaml:"address"`
+}
+
+// Admin is where the operators ask.
+type Admin struct {
+	Address string `yaml:"address"` // "none": nowhere
+	// Remote allows an address that is not on loopback. What answers there is not protected in any way.
+	Remote bool `yaml:"remote"`
+}
+
+// Log says how lines are written.
+type Log struct {
+	Format string `yaml:"format"` // text or json
+	Level  string `yaml:"level"`  // debug, info, warn or error
+}
+
+// Limits are the process's, and what each cluster gets of them unless it says otherwise.
+type Limits struct {
+	Descriptors int      `yaml:"descriptors"` // connections of clients and to endpoints
+	Memory      Size     `yaml:"memory"`      // of requests' bodies
+	Requests    int      `yaml:"requests"`    // without their answer
+	Body        Size     `yaml:"body"`        // of one request
+	Drain       Duration `yaml:"drain"`       // what a stop waits for answers at the most
+	PerCluster  Part     `yaml:"per_cluster"`
+}
+
+// Part is one cluster's of the limits.
+type Part struct {
+	Guaranteed Amount `yaml:"guaranteed"` // its own, whatever the other clusters do
+	Most       Amount `yaml:"most"`       // 0: as the whole
+}
+
+// Amount is a part of each limit.
+type Amount struct {
+	Descriptors int  `yaml:"descriptors"`
+	Memory      Size `yaml:"memory"`
+	Requests    int  `yaml:"requests"`
+}
+
+// Class is a kind of request.
+type Class struct {
+	Name     string   `yaml:"name"`
+	Wanted   Duration `yaml:"wanted"`   // an answer within it is in time
+	Deadline Duration `yaml:"deadline"` // over all tries
+	Worth    float64  `yaml:"worth"`
+	Effect   Effect   `yaml:"effect"`
+	Group    Group    `yaml:"group"`  // keyed only
+	Window   Duration `yaml:"window"` // keyed only: repeats are dropped for so long
+}
+
+// Cluster is a set of endpoints that serve the same. Exactly one of Endpoints, File and XDS says which they are.
+type Cluster struct {
+	Name      string     `yaml:"name"`
+	Endpoints []Endpoint `yaml:"endpoints,omitempty"`
+	File      *Resources `yaml:"file,omitempty"`
+	XDS       *Service   `yaml:"xds,omitempty"`
+	Part      *Part      `yaml:"limits,omitempty"`
+
+	ConnectTimeout Duration `yaml:"connect_timeout"`
+	IdleTimeout    Duration `yaml:"idle_timeout"` // of a connection to an endpoint
+	Attempts       int      `yaml:"attempts"`     // of one request, all together
+	Hedge          *bool    `yaml:"hedge"`        // a second copy of what is overdue
+	WarmUp         WarmUp   `yaml:"warm_up"`
+	CrossZone      *float64 `yaml:"cross_zone_price"` // of a request served in another zone, as a part of its worth
+	DrainGrace     Duration `yaml:"drain_grace"`
+}
+
+// WarmUp is how a server that has just started takes load.
+type WarmUp struct {
+	Time  Duration `yaml:"time"`
+	Share float64  `yaml:"share"` // of its capacity, at first
+	// Most is the multiple of its warm share above which it falls over.
+	Most float64 `yaml:"most"`
+}
+
+// Endpoint is one server of a static cluster.
+type Endpoint struct {
+	Address  string  `yaml:"address"`
+	Zone     string  `yaml:"zone,omitempty"`
+	Kind     string  `yaml:"kind,omitempty"`
+	Cell     int     `yaml:"cell,omitempty"`
+	Weight   float64 `yaml:"weight"`
+	Priority int     `yaml:"priority,omitempty"`
+}
+
+// Resources is a file of xDS resources, in JSON or YAML.
+type Resources struct {
+	Path    string `yaml:"path"`
+	Service string `yaml:"service,omitempty"` // the ClusterLoadAssignment's cluster_name; the cluster's where empty
+}
+
+// Service asks the control plane.
+type Service struct {
+	Service string `yaml:"service,omitempty"` // the ClusterLoadAssignment's cluster_name; the cluster's where empty
+}
+
+// XDS is how control planes are spoken to.
+type XDS struct {
+	Servers   []string `yaml:"servers"` // asked in this order
+	Variant   Variant  `yaml:"variant"`
+	Node      Node     `yaml:"node"`
+	Clusters  bool     `yaml:"clusters"`                      // take all clusters that it names (CDS)
+	RouteName string   `yaml:"route_configuration,omitempty"` // take the routes of this RouteConfiguration behind the file's own
+
+	InitialFetchTimeout Duration `yaml:"initial_fetch_timeout"`
+	ConnectTimeout      Duration `yaml:"connect_timeout"`
+	BackoffBase         Duration `yaml:"backoff_base"`
+	BackoffMost         Duration `yaml:"backoff_most"`
+	Keepalive           Duration `yaml:"keepalive"` // a control plane that is silent twice so long is gone
+	Message             Size     `yaml:"message"`   // the longest that is read
+}
+
+// Node is how the gateway calls itself toward control planes.
+type Node struct {
+	ID      string `yaml:"id"`
+	Cluster string `yaml:"cluster"`
+}
+
+// Route is one rule; see package route for the order of precedence.
+type Route struct {
+	Name     string     `yaml:"name"`
+	Match    Match      `yaml:"match"`
+	Cluster  string     `yaml:"cluster,omitempty"`
+	Clusters []Weighted `yaml:"clusters,omitempty"`
+	Class    string     `yaml:"class,omitempty"` // none: default-safe for GET, HEAD and OPTIONS, else default-unsafe
+	Key      Key        `yaml:"key,omitempty"`
+}
+
+// Match is what a route asks of a request.
+type Match struct {
+	Hosts    []string    `yaml:"hosts,omitempty"`
+	Path     string      `yaml:"path,omitempty"`
+	Prefix   string      `yaml:"prefix,omitempty"`
+	Template string      `yaml:"template,omitempty"`
+	Methods  []string    `yaml:"methods,omitempty"`
+	Headers  []Condition `yaml:"headers,omitempty"`
+	Query    []Condition `yaml:"query,omitempty"`
+}
+
+// Condition holds where the named value is there and is, begins, ends or contains what is set.
+type Condition struct {
+	Name     string  `yaml:"name"`
+	Exact    *string `yaml:"exact,omitempty"`
+	Prefix   *string `yaml:"prefix,omitempty"`
+	Suffix   *string `yaml:"suffix,omitempty"`
+	Contains *string `yaml:"contains,omitempty"`
+	Not      bool    `yaml:"not,omitempty"`
+}
+
+// Weighted is a cluster's part of a route.
+type Weighted struct {
+	Name   string `yaml:"name"`
+	Weight uint32 `yaml:"weight"`
+}
+
+// Key says where a request's key stands.
+type Key struct {
+	Header string `yaml:"header,omitempty"`
+	Query  string `yaml:"query,omitempty"`
+	Path   string `yaml:"path,omitempty"`
+}
+
+// The classes that a route takes where it names none.
+const (
+	DefaultSafe   = "default-safe"
+	DefaultUnsafe = "default-unsafe"
+)
+
+// Load reads and checks a file.
+func Load(path string) (*File, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, Errors{{File: path, Reason: err.Error()}}
+	}
+	return Parse(path, text)
+}
+
+// Parse checks a file's text and fills in the defaults. The error is of type Errors.
+func Parse(path string, text []byte) (*File, error) {
+	d := &decoder{file: path}
+	f := &File{path: path, dir: filepath.Dir(path)}
+	d.decode(text, f)
+	if err := d.sorted(); err != nil {
+		return nil, err
+	}
+	f.fill()
+	f.check(d)
+	if err := d.sorted(); err != nil {
+		return nil, err
+	}
+	return f, nil
+}
+
+// Path is the file's name, Resolve a name in it as seen from its folder.
+func (f *File) Path() string { return f.path }
+
+// Resolve gives a name in the file as seen from its folder.
+func (f *File) Resolve(name string) string {
+	if filepath.IsAbs(name) {
+		return name
+	}
+	return filepath.Join(f.dir, name)
+}
+
+// Print gives the file with all that was left out.
+func (f *File) Print() ([]byte, error) {
+	var b strings.Builder
+	e := yaml.NewEncoder(&b)
+	e.SetIndent(2)
+	if err := e.Encode(f); err != nil {
+		return nil, fmt.Errorf("printing the configuration: %w", err)
+	}
+	return []byte(b.String()), nil
+}
+
+// Of is the part of a cluster's limits, by name; clusters that the file does not name have the usual one.
+func (f *File) Of(c *Cluster) Part {
+	if c.Part != nil {
+		return *c.Part
+	}
+	return f.Limits.PerCluster
+}
+
+func (f *File) check(d *decoder) {
+	if len(f.Listeners) == 0 {
+		d.at("listeners", "none is given")
+	}
+	names := map[string]string{}
+	once := func(kind, field, name string) {
+		if name == "" {
+			d.at(field, "is missing")
+			return
+		}
+		if first, ok := names[kind+name]; ok {
+			d.at(field, "%q is taken by %s", name, first)
+			return
+		}
+		names[kind+name] = field
+	}
+	for i, l := range f.Listeners {
+		once("listener ", fmt.Sprintf("listeners[%d].name", i), l.Name)
+		address(d, fmt.Sprintf("listeners[%d].address", i), l.Address, true)
+		if l.Address != "" {
+			once("address ", fmt.Sprintf("listeners[%d].address", i), l.Address)
+		}
+	}
+	f.checkAdmin(d)
+	switch f.Log.Format {
+	case "text", "json":
+	default:
+		d.at("log.format", "want text or json, not %q", f.Log.Format)
+	}
+	switch f.Log.Level {
+	case "debug", "info", "warn", "error":
+	default:
+		d.at("log.level", "want debug, info, warn or error, not %q", f.Log.Level)
+	}
+	if f.Gateway.Of < 1 || f.Gateway.Number < 0 || f.Gateway.Number >= f.Gateway.Of {
+		d.at("gateway", "number %d of %d: it counts from 0 and is below of", f.Gateway.Number, f.Gateway.Of)
+	}
+	classes := map[string]bool{}
+	for i, c := range f.Classes {
+		field := fmt.Sprintf("classes[%d]", i)
+		once("class ", field+".name", c.Name)
+		classes[c.Name] = true
+		if strings.Contains(c.Name, "!") {
+			d.at(field+".name", "%q: ! is not for names", c.Name)
+		}
+		if c.Wanted > c.Deadline {
+			d.at(field+".wanted", "%v is longer than the deadline, %v", c.Wanted.D(), c.Deadline.D())
+		}
+		if c.Worth <= 0 || c.Worth > 1e6 {
+			d.at(field+".worth", "want more than 0 and at most 1000000, not %v", c.Worth)
+		}
+		if c.Effect != 1 && (c.Window != 0 || c.Group != 0) {
+			d.at(field+".effect", "group and window are for keyed classes")
+		}
+		if c.Effect == 1 && c.Window == 0 {
+			d.at(field+".window", "a keyed class needs it: how long its servers drop repeats")
+		}
+	}
+	clusters := map[string]bool{}
+	for i := range f.Clusters {
+		c := &f.Clusters[i]
+		once("cluster ", fmt.Sprintf("clusters[%d].name", i), c.Name)
+		clusters[c.Name] = true
+		f.checkCluster(d, fmt.Sprintf("clusters[%d]", i), c)
+	}
+	f.checkXDS(d)
+	f.checkLimits(d)
+	f.checkRoutes(d, classes, clusters)
+}
+
+func (f *File) checkAdmin(d *decoder) {
+	if f.Admin.Address == "none" {
+		return
+	}
+	if !address(d, "admin.address", f.Admin.Address, true) {
+		return
+	}
+	host, _, _ := net.SplitHostPort(f.Admin.Address)
+	if ip := net.ParseIP(host); !f.Admin.Remote && host != "localhost" && (ip == nil || !ip.IsLoopback()) {
+		d.at("admin.address", "%s is not on loopback; what answers there is not protected, say admin.remote: true if that is meant", f.Admin.Address)
+	}
+}
+
+// address checks host:port.
+func address(d *decoder, field, text string, mayBeZero bool) bool {
+	if text == "" {
+		d.at(field, "is missing")
+		return false
+	}
+	_, port, err := net.SplitHostPort(text)
+	if err != nil {
+		d.at(field, "%q is not host:port", text)
+		return false
+	}
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 && !mayBeZero {
+		d.at(field, "%q is not a port", port)
+		return false
+	}
+	return true
+}
+
+func (f *File) checkCluster(d *decoder, field string, c *Cluster) {
+	sources := 0
+	if c.Endpoints != nil {
+		sources++
+		seen := map[string]int{}
+		for i, e := range c.Endpoints {
+			at := fmt.Sprintf("%s.endpoints[%d]", field, i)
+			address(d, at+".address", e.Address, false)
+			if first, ok := seen[e.Address]; ok && e.Address != "" {
+				d.at(at+".address", "%s is endpoints[%d] already", e.Address, first)
+			}
+			seen[e.Address] = i
+			if e.Weight <= 0 || e.Weight > 1e9 {
+				d.at(at+".weight", "want more than 0 and at most 1000000000, not %v", e.Weight)
+			}
+			if e.Priority < 0 || e.Priority > 128 {
+				d.at(at+".priority", "want 0 to 128, not %d", e.Priority)
+			}
+		}
+	}
+	if c.File != nil {
+		if sources++; c.File.Path == "" {
+			d.at(field+".file.path", "is missing")
+		}
+	}
+	if c.XDS != nil {
+		if sources++; f.XDS == nil {
+			d.at(field+".xds", "there is no control plane: xds is missing")
+		}
+	}
+	if sources != 1 {
+		d.at(field, "want one of endpoints, file and xds, not %d", sources)
+	}
+	if c.Attempts < 1 || c.Attempts > 10 {
+		d.at(field+".attempts", "want 1 to 10, not %d", c.Attempts)
+	}
+	if c.WarmUp.Share <= 0 || c.WarmUp.Share > 1 {
+		d.at(field+".warm_up.share", "want more than 0 and at most 1, not %v", c.WarmUp.Share)
+	}
+	if c.WarmUp.Most < 1 || c.WarmUp.Most > 100 {
+		d.at(field+".warm_up.most", "want 1 to 100, not %v", c.WarmUp.Most)
+	}
+	if p := *c.CrossZone; p < 0 || p > 1 {
+		d.at(field+".cross_zone_price", "want 0 to 1, not %v", p)
+	}
+	if c.ConnectTimeout == 0 || c.ConnectTimeout > Duration(10*time.Second) {
+		d.at(field+".connect_timeout", "want more than 0 and at most 10s, not %v", c.ConnectTimeout.D())
+	}
+	if c.IdleTimeout == 0 {
+		d.at(field+".idle_timeout", "want more than 0")
+	}
+}
+
+func (f *File) checkXDS(d *decoder) {
+	x := f.XDS
+	if x == nil {
+		return
+	}
+	if len(x.Servers) == 0 {
+		d.at("xds.servers", "none is given")
+	}
+	for i, s := range x.Servers {
+		address(d, fmt.Sprintf("xds.servers[%d]", i), s, false)
+	}
+	if x.Node.ID == "" {
+		d.at("xds.node.id", "is missing: control planes tell gateways apart by it")
+	}
+	for name, v := range map[string]Duration{"connect_timeout": x.ConnectTimeout, "backoff_base": x.BackoffBase,
+		"backoff_most": x.BackoffMost, "keepalive": x.Keepalive} {
+		if v == 0 {
+			d.at("xds."+name, "want more than 0")
+		}
+	}
+	if x.BackoffMost < x.BackoffBase {
+		d.at("xds.backoff_most", "%v is shorter than backoff_base, %v", x.BackoffMost.D(), x.BackoffBase.D())
+	}
+	if x.Message < 1<<10 {
+		d.at("xds.message", "want 1KiB at least")
+	}
+}
+
+func (f *File) checkLimits(d *decoder) {
+	l := &f.Limits
+	if l.Descriptors < 16 {
+		d.at("limits.descriptors", "want 16 at least, not %d", l.Descriptors)
+	}
+	if l.Requests < 1 {
+		d.at("limits.requests", "want 1 at least, not %d", l.Requests)
+	}
+	if l.Body < 1 || l.Body > l.Memory {
+		d.at("limits.body", "want 1B at least and no more than limits.memory")
+	}
+	if l.Drain == 0 {
+		d.at("limits.drain", "want more than 0")
+	}
+	var sum Amount
+	for i := range f.Clusters {
+		g := f.Of(&f.Clusters[i]).Guaranteed
+		if g.Descriptors < 0 || g.Requests < 0 {
+			d.at(fmt.Sprintf("clusters[%d].limits.guaranteed", i), "is negative")
+		}
+		sum.Descriptors, sum.Memory, sum.Requests = sum.Descriptors+g.Descriptors, sum.Memory+g.Memory, sum.Requests+g.Requests
+	}
+	// Clients' connections need descriptors as well, and clusters may come that the file does not name.
+	if sum.Descriptors > l.Descriptors/2 {
+		d.at("limits.per_cluster.guaranteed", "%d descriptors are guaranteed to clusters, half of limits.descriptors (%d) at most",
+			sum.Descriptors, l.Descriptors)
+	}
+	if sum.Memory > l.Memory {
+		d.at("limits.per_cluster.guaranteed", "%d bytes are guaranteed of %d", int64(sum.Memory), int64(l.Memory))
+	}
+	if sum.Requests > max(l.Requests, 0) {
+		d.at("limits.per_cluster.guaranteed", "%d requests are guaranteed of %d", sum.Requests, l.Requests)
+	}
+}
+
+func (f *File) checkRoutes(d *decoder, classes, clusters map[string]bool) {
+	if len(f.Routes) == 0 && (f.XDS == nil || f.XDS.RouteName == "") {
+		d.at("routes", "none is given")
+	}
+	for i, r := range f.Routes {
+		field := fmt.Sprintf("routes[%d]", i)
+		if r.Cluster != "" && len(r.Clusters) > 0 {
+			d.at(field+".clusters", "only one of cluster and clusters can be set")
+		}
+		if r.Class != "" && !classes[r.Class] {
+			d.at(field+".class", "there is no class %q", r.Class)
+		}
+		named := func(field, name string) {
+			if name != "" && !clusters[name] && (f.XDS == nil || !f.XDS.Clusters) {
+				d.at(field, "there is no cluster %q", name)
+			}
+		}
+		named(field+".cluster", r.Cluster)
+		for j, w := range r.Clusters {
+			named(fmt.Sprintf("%s.clusters[%d].name", field, j), w.Name)
+		}
+		for kind, l := range map[string][]Condition{"headers": r.Match.Headers, "query": r.Match.Query} {
+			for j, c := range l {
+				if c.ops() > 1 {
+					d.at(fmt.Sprintf("%s.match.%s[%d]", field, kind, j), "only one of exact, prefix, suffix and contains can be set")
+				}
+			}
+		}
+	}
+	if _, err := route.Compile(f.Table(), route.Options{}); err != nil {
+		joined, ok := err.(interface{ Unwrap() []error })
+		if !ok {
+			d.at("routes", "%v", err)
+			return
+		}
+		for _, err := range joined.Unwrap() {
+			e, ok := err.(*route.Error)
+			if !ok {
+				d.at("routes", "%v", err)
+				continue
+			}
+			field := fmt.Sprintf("routes[%d].", e.Route)
+			switch e.Field {
+			case "cluster", "clusters", "key", "match":
+			default:
+				field += "match."
+			}
+			d.at(field+e.Field, "%s", e.Reason)
+		}
+	}
+}
+
+func (c Condition) ops() (n int) {
+	for _, p := range []*string{c.Exact, c.Prefix, c.Suffix, c.Contains} {
+		if p != nil {
+			n++
+		}
+	}
+	return n
+}
+
+func conditions(l []Condition) []route.Condition {
+	var out []route.Condition
+	for _, c := range l {
+		r := route.Condition{Name: c.Name, Not: c.Not}
+		for _, o := range []struct {
+			op route.Op
+			v  *string
+		}{{route.Exact, c.Exact}, {route.Prefix, c.Prefix}, {route.Suffix, c.Suffix}, {route.Contains, c.Contains}} {
+			if o.v != nil {
+				r.Op, r.Value = o.op, *o.v
+			}
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
+// Table gives the file's routes as package route has them.
+func (f *File) Table() []route.Route {
+	l := make([]route.Route, len(f.Routes))
+	for i, r := range f.Routes {
+		l[i] = route.Route{Name: r.Name, Hosts: r.Match.Hosts, Path: r.Match.Path, Template: r.Match.Template,
+			Prefix: r.Match.Prefix, Methods: r.Match.Methods, Headers: conditions(r.Match.Headers),
+			Query: conditions(r.Match.Query), Class: r.Class, Key: route.Key(r.Key)}
+		if r.Cluster != "" {
+			l[i].Clusters = []route.Weighted{{Cluster: r.Cluster, Weight: 1}}
+		}
+		for _, w := range r.Clusters {
+			l[i].Clusters = append(l[i].Clusters, route.Weighted{Cluster: w.Name, Weight: w.Weight})
+		}
+	}
+	return l
+}
--- /dev/null
+++ b/internal/config/decode.go
@@ -0,0 +1,250 @@
+package config
+
+import (
+	"encoding"
+	"errors"
+	"fmt"
+	"reflect"
+	"slices"
+	"strconv"
+	"strings"
+
+	"go.yaml.in/yaml/v3"
+)
+
+// Error is one thing wrong with a file.
+type Error struct {
+	File         string
+	Line, Column int // from 1; 0 where the place is not known
+	Field        string
+	Reason       string
+}
+
+func (e *Error) Error() string {
+	at := e.File
+	if e.Line > 0 {
+		at = fmt.Sprintf("%s:%d:%d", e.File, e.Line, e.Column)
+	}
+	if e.Field == "" {
+		return at + ": " + e.Reason
+	}
+	return at + ": " + e.Field + ": " + e.Reason
+}
+
+// Errors is all that is wrong with a file, in the order of its lines.
+type Errors []*Error
+
+func (l Errors) Error() string {
+	s := make([]string, len(l))
+	for i, e := range l {
+		s[i] = e.Error()
+	}
+	return strings.Join(s, "\n")
+}
+
+type place struct{ line, column int }
+
+// decoder reads nodes into Go values by their `yaml` tags. It goes on after an error, so that all come at once, and
+// remembers where each field stands.
+type decoder struct {
+	file   string
+	errs   Errors
+	places map[string]place
+	depth  int
+}
+
+// Bounds of what a file may hold: aliases can make a small one expand without end, so there are none.
+const (
+	mostDepth = 32
+	mostBytes = 64 << 20
+)
+
+func (d *decoder) bad(n *yaml.Node, field, reason string, args ...any) {
+	e := &Error{File: d.file, Field: field, Reason: fmt.Sprintf(reason, args...)}
+	if n != nil {
+		e.Line, e.Column = n.Line, n.Column
+	}
+	d.errs = append(d.errs, e)
+}
+
+// at adds an error about a field by its path; one that is not in the file stands where its parent does.
+func (d *decoder) at(field, reason string, args ...any) {
+	e := &Error{File: d.file, Field: field, Reason: fmt.Sprintf(reason, args...)}
+	for path := field; ; path = path[:max(strings.LastIndexAny(path, ".["), 0)] {
+		if p, ok := d.places[path]; ok || path == "" {
+			e.Line, e.Column = p.line, p.column
+			break
+		}
+	}
+	d.errs = append(d.errs, e)
+}
+
+func (d *decoder) sorted() error {
+	if len(d.errs) == 0 {
+		return nil
+	}
+	slices.SortStableFunc(d.errs, func(x, y *Error) int {
+		if x.Line != y.Line {
+			return x.Line - y.Line
+		}
+		return x.Column - y.Column
+	})
+	return d.errs
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
+
+// decode reads text into v, a pointer to a struct.
+func (d *decoder) decode(text []byte, v any) {
+	d.places = map[string]place{}
+	if len(text) > mostBytes {
+		d.bad(nil, "", "%d bytes, %d at most", len(text), mostBytes)
+		return
+	}
+	var doc yaml.Node
+	if err := yaml.Unmarshal(text, &doc); err != nil {
+		d.syntax(err)
+		return
+	}
+	if doc.Kind == 0 || len(doc.Content) == 0 {
+		d.bad(nil, "", "the file is empty")
+		return
+	}
+	d.value(doc.Content[0], "", reflect.ValueOf(v).Elem())
+}
+
+// syntax words the library's errors, which give a line at the most.
+func (d *decoder) syntax(err error) {
+	e := &Error{File: d.file, Column: 1}
+	text := strings.TrimPrefix(err.Error(), "yaml: ")
+	if rest, ok := strings.CutPrefix(text, "line "); ok {
+		if number, why, ok := strings.Cut(rest, ": "); ok {
+			e.Line, _ = strconv.Atoi(number)
+			text = why
+		}
+	}
+	e.Reason = "not YAML: " + text
+	d.errs = append(d.errs, e)
+}
+
+var textual = reflect.TypeFor[encoding.TextUnmarshaler]()
+
+func (d *decoder) value(n *yaml.Node, path string, v reflect.Value) {
+	if d.depth++; d.depth > mostDepth {
+		d.bad(n, path, "nested too deep")
+	}
+	defer func() { d.depth-- }()
+	if d.depth > mostDepth {
+		return
+	}
+	d.places[path] = place{n.Line, n.Column}
+	if n.Kind == yaml.AliasNode || n.Anchor != "" {
+		d.bad(n, path, "anchors and aliases are not read")
+		return
+	}
+	if n.Kind == yaml.ScalarNode && n.Tag == "!!null" {
+		d.bad(n, path, "has no value")
+		return
+	}
+	if v.Kind() != reflect.Pointer && reflect.PointerTo(v.Type()).Implements(textual) {
+		if n.Kind != yaml.ScalarNode {
+			d.bad(n, path, "want one value")
+		} else if err := v.Addr().Interface().(encoding.TextUnmarshaler).UnmarshalText([]byte(n.Value)); err != nil {
+			d.bad(n, path, "%v", err)
+		}
+		return
+	}
+	switch v.Kind() {
+	case reflect.Pointer:
+		v.Set(reflect.New(v.Type().Elem()))
+		d.value(n, path, v.Elem())
+	case reflect.Struct:
+		d.mapping(n, path, v)
+	case reflect.Slice:
+		if n.Kind != yaml.SequenceNode {
+			d.bad(n, path, "want a list")
+			return
+		}
+		v.Set(reflect.MakeSlice(v.Type(), len(n.Content), len(n.Content)))
+		for i, c := range n.Content {
+			d.value(c, fmt.Sprintf("%s[%d]", path, i), v.Index(i))
+		}
+	default:
+		d.scalar(n, path, v)
+	}
+}
+
+func (d *decoder) mapping(n *yaml.Node, path string, v reflect.Value) {
+	if n.Kind != yaml.MappingNode {
+		d.bad(n, path, "want fields")
+		return
+	}
+	fields := map[string]int{}
+	for i := range v.NumField() {
+		name, _, _ := strings.Cut(v.Type().Field(i).Tag.Get("yaml"), ",")
+		if name != "" && name != "-" {
+			fields[name] = i
+		}
+	}
+	seen := map[string]bool{}
+	for i := 0; i+1 < len(n.Content); i += 2 {
+		k := n.Content[i]
+		f, ok := fields[k.Value]
+		name := join(path, k.Value)
+		switch {
+		case !ok:
+			d.bad(k, name, "there is no such field")
+		case seen[k.Value]:
+			d.bad(k, name, "stands twice")
+		default:
+			seen[k.Value] = true
+			d.value(n.Content[i+1], name, v.Field(f))
+		}
+	}
+}
+
+func (d *decoder) scalar(n *yaml.Node, path string, v reflect.Value) {
+	if n.Kind != yaml.ScalarNode {
+		d.bad(n, path, "want one value")
+		return
+	}
+	var err error
+	switch v.Kind() {
+	case reflect.String:
+		v.SetString(n.Value)
+	case reflect.Bool:
+		var b bool
+		if b, err = strconv.ParseBool(n.Value); err != nil || n.Tag != "!!bool" {
+			err = errors.New("want true or false")
+		}
+		v.SetBool(b)
+	case reflect.Int, reflect.Int64:
+		var i int64
+		if i, err = strconv.ParseInt(n.Value, 10, 64); err != nil {
+			err = errors.New("want a whole number")
+		}
+		v.SetInt(i)
+	case reflect.Uint32:
+		var u uint64
+		if u, err = strconv.ParseUint(n.Value, 10, 32); err != nil {
+			err = errors.New("want a whole number from 0 to 4294967295")
+		}
+		v.SetUint(u)
+	case reflect.Float64:
+		var f float64
+		if f, err = strconv.ParseFloat(n.Value, 64); err != nil || f-f != 0 {
+			f, err = 0, errors.New("want a number")
+		}
+		v.SetFloat(f)
+	default:
+		err = fmt.Errorf("a %v cannot be read", v.Type())
+	}
+	if err != nil {
+		d.bad(n, path, "%v, not %q", err, n.Value)
+	}
+}
--- /dev/null
+++ b/internal/config/defaults.go
@@ -0,0 +1,97 @@
+package config
+
+import (
+	"cmp"
+	"time"
+)
+
+// fill sets what was left out. These are all the defaults there are; `robindrum check --print` shows them.
+func (f *File) fill() {
+	set(&f.Gateway.Of, 1)
+	set(&f.Admin.Address, "127.0.0.1:9901")
+	set(&f.Log.Format, "text")
+	set(&f.Log.Level, "info")
+
+	l := &f.Limits
+	set(&l.Descriptors, 1024)
+	set(&l.Memory, 64<<20)
+	set(&l.Requests, 4096)
+	set(&l.Body, min(1<<20, l.Memory))
+	set(&l.Drain, Duration(30*time.Second))
+	// A quarter of the descriptors and half of the rest is kept for the clusters, evenly. Clusters that a control plane
+	// names have what is left.
+	n := max(len(f.Clusters), 1)
+	if g := &l.PerCluster.Guaranteed; *g == (Amount{}) {
+		*g = Amount{Descriptors: l.Descriptors / 4 / n, Memory: l.Memory / 2 / Size(n), Requests: l.Requests / 2 / n}
+	}
+
+	for i := range f.Classes {
+		f.Classes[i].fill()
+	}
+	for _, c := range []Class{{Name: DefaultSafe}, {Name: DefaultUnsafe, Effect: 2}} {
+		if !f.hasClass(c.Name) {
+			c.fill()
+			f.Classes = append(f.Classes, c)
+		}
+	}
+	for i := range f.Clusters {
+		f.Clusters[i].Fill()
+		for j := range f.Clusters[i].Endpoints {
+			e := &f.Clusters[i].Endpoints[j]
+			set(&e.Weight, 1)
+		}
+	}
+	for i := range f.Routes {
+		for j := range f.Routes[i].Clusters {
+			set(&f.Routes[i].Clusters[j].Weight, 1)
+		}
+	}
+	if x := f.XDS; x != nil {
+		set(&x.Node.Cluster, "robindrum")
+		set(&x.InitialFetchTimeout, Duration(15*time.Second))
+		set(&x.ConnectTimeout, Duration(5*time.Second))
+		set(&x.BackoffBase, Duration(500*time.Millisecond))
+		set(&x.BackoffMost, Duration(30*time.Second))
+		set(&x.Keepalive, Duration(30*time.Second))
+		set(&x.Message, 16<<20)
+	}
+}
+
+func (c *Class) fill() {
+	set(&c.Deadline, Duration(15*time.Second))
+	set(&c.Wanted, min(Duration(time.Second), c.Deadline))
+	set(&c.Worth, 1)
+}
+
+// Fill sets what was left out of a cluster; also of one that a control plane names.
+func (c *Cluster) Fill() {
+	set(&c.ConnectTimeout, Duration(250*time.Millisecond))
+	set(&c.IdleTimeout, Duration(10*time.Second))
+	set(&c.Attempts, 3)
+	set(&c.WarmUp.Time, Duration(10*time.Second))
+	set(&c.WarmUp.Share, 0.1)
+	set(&c.WarmUp.Most, 2.5)
+	set(&c.DrainGrace, Duration(time.Second))
+	if c.Hedge == nil {
+		c.Hedge = new(true)
+	}
+	if c.CrossZone == nil {
+		c.CrossZone = new(0.05)
+	}
+}
+
+func (f *File) hasClass(name string) bool {
+	for _, c := range f.Classes {
+		if c.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+func set[T cmp.Ordered](v *T, to T) {
+	var zero T
+	if *v == zero {
+		*v = to
+	}
+}
--- /dev/null
+++ b/internal/membership/membership.go
@@ -0,0 +1,196 @@
+// Package membership turns what a source says of a cluster's endpoints into news for the decision module. Each source
+// (the configuration, a file, xDS) gives whole lists in one form; a View remembers the last one, finds what changed, and
+// says of each endpoint where it comes from and why it gets no requests. It is pure: time is an argument.
+package membership
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"arrowhitch/internal/discovery"
+	"arrowhitch/logic"
+)
+
+// Health is what a source says of an endpoint, in the words of Envoy's HealthStatus.
+type Health uint8
+
+const (
+	Unknown Health = iota // taken as healthy
+	Healthy
+	Degraded // used while no healthy one is there
+	Draining
+	Unhealthy
+	Timeout // its health check timed out: as unhealthy
+)
+
+func (h Health) String() string {
+	return [...]string{"unknown", "healthy", "degraded", "draining", "unhealthy", "timeout"}[h]
+}
+
+// Endpoint is one entry of a source's list.
+type Endpoint struct {
+	Address  string // host:port; what it is told apart by
+	Hostname string
+	Zone     string
+	SubZone  string
+	Kind     string
+	Cell     int
+	Weight   float64 // above 0; 1 is usual
+	Priority int     // of several, only those of the lowest that has anyone ready are used
+	Health   Health
+}
+
+// identity is what makes an endpoint another one though its address stays.
+func (e *Endpoint) identity() string {
+	return strings.Join([]string{e.Hostname, e.Zone, e.SubZone, e.Kind}, "\x00")
+}
+
+// Word is a source's whole list at one time.
+type Word struct {
+	Source    string // "static", "file", "xds", ...
+	Version   string
+	Endpoints []Endpoint
+	// Stale is why the list is no longer to be used, if it is not: then no endpoint is.
+	Stale string
+}
+
+// Server is an endpoint as the view has it.
+type Server struct {
+	Endpoint
+	Since time.Duration // when it was first told, as Unix time; 0: with the first list
+	Out   string        // why it gets nothing new; empty: it does
+}
+
+// View is the last word on one cluster. The zero View has none. It is not safe for several goroutines at once.
+type View struct {
+	told    bool
+	word    Word
+	at      time.Duration // of the last word, also one that changed nothing
+	servers map[string]*Server
+	sent    map[string]logic.Server
+}
+
+// Take takes a source's word at now (Unix time) and gives what it changes, nil if nothing. The first list's endpoints
+// are taken to have run for long; those that come later, or come back, or are others at the same address, are new and so
+// cold.
+func (v *View) Take(now time.Duration, w Word) *discovery.Update {
+	first := !v.told
+	v.told, v.at, v.word = true, now, w
+	servers := make(map[string]*Server, len(w.Endpoints))
+	for _, e := range w.Endpoints {
+		s := &Server{Endpoint: e}
+		if old := v.servers[e.Address]; old != nil && old.identity() == e.identity() {
+			s.Since = old.Since
+		} else if !first {
+			s.Since = now
+		}
+		servers[e.Address] = s
+	}
+	v.servers = servers
+	v.choose()
+	sent := make(map[string]logic.Server, len(servers))
+	u := &discovery.Update{Endpoints: map[string]string{}}
+	u.Kind = logic.FleetChanges
+	for _, e := range w.Endpoints {
+		s := servers[e.Address].logic()
+		if old, ok := v.sent[s.ID]; first || !ok || old != s {
+			u.Servers = append(u.Servers, s)
+			u.Endpoints[s.ID] = e.Address
+		}
+		sent[s.ID] = s
+	}
+	for id, s := range v.sent {
+		if _, ok := sent[id]; !ok {
+			s.State = logic.Removed
+			u.Servers = append(u.Servers, s)
+		}
+	}
+	v.sent = sent
+	if first {
+		u.Kind = logic.FleetAll
+	} else if len(u.Servers) == 0 {
+		return nil
+	}
+	return u
+}
+
+// choose says which endpoints are used.
+func (v *View) choose() {
+	ready := func(s *Server) bool { return s.Health == Unknown || s.Health == Healthy }
+	best, healthy, found := 0, false, false
+	for _, s := range v.servers {
+		ok := ready(s)
+		if !ok && s.Health != Degraded {
+			continue
+		}
+		// The lowest priority with anyone to use; in it the healthy, and the degraded where there are none.
+		if !found || s.Priority < best || s.Priority == best && ok && !healthy {
+			best, healthy, found = s.Priority, ok, true
+		}
+	}
+	for _, s := range v.servers {
+		switch {
+		case v.word.Stale != "":
+			s.Out = v.word.Stale
+		case !ready(s) && s.Health != Degraded:
+			s.Out = s.Health.String()
+		case s.Priority != best:
+			s.Out = fmt.Sprintf("priority %d is in use", best)
+		case s.Health == Degraded && healthy:
+			s.Out = Degraded.String()
+		default:
+			s.Out = ""
+		}
+	}
+}
+
+func (s *Server) logic() logic.Server {
+	l := logic.Server{ID: s.Address, Zone: s.Zone, Kind: s.Kind, Cell: s.Cell, Weight: s.Weight, Since: s.Since}
+	if s.Out != "" {
+		l.State = logic.Draining
+	}
+	return l
+}
+
+// All is the last word whole, for a core that begins; nil if there was none.
+func (v *View) All() *discovery.Update {
+	if !v.told {
+		return nil
+	}
+	u := &discovery.Update{Endpoints: make(map[string]string, len(v.sent))}
+	u.Kind = logic.FleetAll
+	for _, s := range v.Servers() {
+		u.Servers = append(u.Servers, v.sent[s.Address])
+		u.Endpoints[s.Address] = s.Address
+	}
+	return u
+}
+
+// Told tells whether there was any word.
+func (v *View) Told() bool { return v.told }
+
+// Usable is how many endpoints are used.
+func (v *View) Usable() (n int) {
+	for _, s := range v.servers {
+		if s.Out == "" {
+			n++
+		}
+	}
+	return n
+}
+
+// Last is the last word and when it came.
+func (v *View) Last() (Word, time.Duration) { return v.word, v.at }
+
+// Servers gives the endpoints, sorted by address.
+func (v *View) Servers() []Server {
+	l := make([]Server, 0, len(v.servers))
+	for _, s := range v.servers {
+		l = append(l, *s)
+	}
+	slices.SortFunc(l, func(x, y Server) int { return cmp.Compare(x.Address, y.Address) })
+	return l
+}
