xds: clusters, endpoints and routes from control planes, both variants of the protocol

Other installs describe their fleets as Envoy clusters and endpoints, and the operators may do the same.

--- /dev/null
+++ b/internal/xds/resource.go
@@ -0,0 +1,414 @@
+// Package xds takes clusters, endpoints and routes from control planes that speak Envoy's xDS protocol, version 3, and
+// from files that hold the same resources.
+//
+// resource.go turns resources into the gateway's own words. What of each message is honoured or ignored with a warning
+// stands in tables; whatever else is set is refused by the name of its field, so that nothing is dropped silently.
+// machine.go is the protocol without a connection, state of the world and incremental; client.go runs it over gRPC.
+package xds
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"math"
+	"net"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	clusterv3 "github.com/envoyproxy/go-control-plane/envoy/config/cluster/v3"
+	corev3 "github.com/envoyproxy/go-control-plane/envoy/config/core/v3"
+	endpointv3 "github.com/envoyproxy/go-control-plane/envoy/config/endpoint/v3"
+	typev3 "github.com/envoyproxy/go-control-plane/envoy/type/v3"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
+
+	"arrowhitch/internal/membership"
+)
+
+// Type is a resource type's URL.
+type Type string
+
+// The types that are taken.
+const (
+	ClusterType  Type = "type.googleapis.com/envoy.config.cluster.v3.Cluster"
+	EndpointType Type = "type.googleapis.com/envoy.config.endpoint.v3.ClusterLoadAssignment"
+	RouteType    Type = "type.googleapis.com/envoy.config.route.v3.RouteConfiguration"
+)
+
+// Short is how the type is called in status and logs.
+func (t Type) Short() string {
+	switch t {
+	case ClusterType:
+		return "cluster"
+	case EndpointType:
+		return "endpoints"
+	case RouteType:
+		return "routes"
+	}
+	return string(t)
+}
+
+// metadataName is the filter_metadata under which resources say what only this gateway knows: a cell and a kind for an
+// endpoint, a class and a key for a route.
+const metadataName = "robindrum"
+
+// Bounds of one resource.
+const (
+	mostEndpoints = 100_000
+	mostPriority  = 128 // Envoy's
+)
+
+// Cluster is a cluster as a control plane describes it.
+type Cluster struct {
+	Name           string
+	Service        string      // EDS: the name of its ClusterLoadAssignment
+	Static         *Assignment // STATIC
+	ConnectTimeout time.Duration
+	IdleTimeout    time.Duration // 0: not said
+	MostConns      int           // 0: not said
+	MostRequests   int
+	WarmUp         time.Duration
+	Localities     bool // the weights of localities count
+}
+
+// Assignment is a cluster's endpoints.
+type Assignment struct {
+	Name       string
+	Endpoints  []Endpoint
+	Drop       float64       // the part of requests that is to be refused, 0 to 1
+	StaleAfter time.Duration // 0: never
+}
+
+// Endpoint is one of them. Its weight is within its locality.
+type Endpoint struct {
+	membership.Endpoint
+	Locality       string
+	LocalityWeight uint32 // 0: not said
+}
+
+// table says of a message's fields which are taken and which make no difference that matters; others are refused.
+type table struct{ honoured, ignored []string }
+
+var (
+	clusterTable = table{
+		honoured: []string{"name", "type", "eds_cluster_config", "connect_timeout", "load_assignment", "lb_policy", "circuit_breakers",
+			"common_http_protocol_options", "common_lb_config", "least_request_lb_config", "round_robin_lb_config"},
+		ignored: []string{"alt_stat_name", "metadata", "health_checks", "outlier_detection", "per_connection_buffer_limit_bytes",
+			"track_cluster_stats", "track_timeout_budgets", "wait_for_warm_on_init", "dns_lookup_family", "load_balancing_policy",
+			"preconnect_policy", "close_connections_on_host_health_failure", "ignore_health_on_host_removal", "upstream_connection_options",
+			"http_protocol_options"},
+	}
+	edsConfigTable  = table{honoured: []string{"eds_config", "service_name"}}
+	breakersTable   = table{honoured: []string{"thresholds"}, ignored: []string{"per_host_thresholds"}}
+	thresholdsTable = table{honoured: []string{"priority", "max_connections", "max_requests"},
+		ignored: []string{"max_pending_requests", "max_retries", "retry_budget", "track_remaining", "max_connection_pools"}}
+	httpTable     = table{honoured: []string{"idle_timeout"}, ignored: []string{"max_connection_duration", "max_headers_count", "max_requests_per_connection"}}
+	lbConfigTable = table{honoured: []string{"locality_weighted_lb_config"},
+		ignored: []string{"healthy_panic_threshold", "zone_aware_lb_config", "update_merge_window", "ignore_new_hosts_until_first_hc", "close_connections_on_host_set_change"}}
+	leastTable      = table{honoured: []string{"slow_start_config"}, ignored: []string{"choice_count", "active_request_bias", "locality_lb_config", "enable_full_scan", "selection_method"}}
+	roundTable      = table{honoured: []string{"slow_start_config"}, ignored: []string{"locality_lb_config"}}
+	slowStartTable  = table{honoured: []string{"slow_start_window"}, ignored: []string{"aggression", "min_weight_percent"}}
+	assignmentTable = table{honoured: []string{"cluster_name", "endpoints", "policy"}}
+	policyTable     = table{honoured: []string{"drop_overloads", "endpoint_stale_after"}, ignored: []string{"overprovisioning_factor", "weighted_priority_health"}}
+	localityTable   = table{honoured: []string{"locality", "lb_endpoints", "load_balancing_weight", "priority"}, ignored: []string{"metadata", "proximity"}}
+	lbTable         = table{honoured: []string{"endpoint", "health_status", "metadata", "load_balancing_weight"}}
+	endpointTable   = table{honoured: []string{"address", "hostname"}, ignored: []string{"health_check_config", "additional_addresses"}}
+	addressTable    = table{honoured: []string{"address", "port_value", "protocol"}, ignored: []string{"ipv4_compat"}}
+)
+
+// audit goes over the fields that are set.
+func (t table) audit(m proto.Message, path string, warn *[]string) error {
+	var errs []error
+	m.ProtoReflect().Range(func(f protoreflect.FieldDescriptor, _ protoreflect.Value) bool {
+		name := string(f.Name())
+		switch {
+		case slices.Contains(t.honoured, name):
+		case slices.Contains(t.ignored, name):
+			if warn != nil && len(*warn) < 32 {
+				*warn = append(*warn, path+name+" is ignored")
+			}
+		default:
+			errs = append(errs, fmt.Errorf("%s%s: not supported", path, name))
+		}
+		return true
+	})
+	if n := len(m.ProtoReflect().GetUnknown()); n > 0 && warn != nil {
+		*warn = append(*warn, fmt.Sprintf("%s%d bytes of unknown fields are ignored", path, n))
+	}
+	slices.SortFunc(errs, func(x, y error) int { return cmp.Compare(x.Error(), y.Error()) })
+	return errors.Join(errs...)
+}
+
+// ParseCluster checks a Cluster.
+func ParseCluster(m *clusterv3.Cluster) (*Cluster, []string, error) {
+	var warn []string
+	c := &Cluster{Name: m.GetName(), ConnectTimeout: 5 * time.Second} // Envoy's default
+	if c.Name == "" {
+		return nil, nil, errors.New("name: is missing")
+	}
+	err := clusterTable.audit(m, "", &warn)
+	bad := func(reason string, args ...any) { err = errors.Join(err, fmt.Errorf(reason, args...)) }
+	sub := func(t table, m proto.Message, path string) { err = errors.Join(err, t.audit(m, path, &warn)) }
+	if d := m.GetConnectTimeout(); d != nil {
+		if c.ConnectTimeout = d.AsDuration(); d.CheckValid() != nil || c.ConnectTimeout <= 0 {
+			bad("connect_timeout: want more than 0")
+		}
+	}
+	c.ConnectTimeout = min(c.ConnectTimeout, 10*time.Second)
+	switch m.GetLbPolicy() {
+	case clusterv3.Cluster_ROUND_ROBIN, clusterv3.Cluster_LEAST_REQUEST, clusterv3.Cluster_RANDOM, clusterv3.Cluster_LOAD_BALANCING_POLICY_CONFIG:
+		if m.GetLbPolicy() != clusterv3.Cluster_LEAST_REQUEST {
+			warn = append(warn, fmt.Sprintf("lb_policy %v: the fewer requests of two servers wins here", m.GetLbPolicy()))
+		}
+	default:
+		bad("lb_policy: %v is not supported", m.GetLbPolicy())
+	}
+	switch d := m.GetClusterDiscoveryType().(type) {
+	case *clusterv3.Cluster_ClusterType:
+		bad("cluster_type: %q is not supported", d.ClusterType.GetName())
+	default:
+		switch m.GetType() {
+		case clusterv3.Cluster_EDS:
+			e := m.GetEdsClusterConfig()
+			if e == nil {
+				bad("eds_cluster_config: is missing")
+				break
+			}
+			sub(edsConfigTable, e, "eds_cluster_config.")
+			if s := e.GetEdsConfig(); s.GetAds() == nil && s.GetSelf() == nil {
+				bad("eds_cluster_config.eds_config: only ads and self are supported")
+			}
+			if m.GetLoadAssignment() != nil {
+				bad("load_assignment: is for STATIC clusters")
+			}
+			c.Service = cmp.Or(e.GetServiceName(), c.Name)
+		case clusterv3.Cluster_STATIC:
+			if m.GetEdsClusterConfig() != nil {
+				bad("eds_cluster_config: is for EDS clusters")
+			}
+			a, w, aerr := parseAssignment(m.GetLoadAssignment(), true)
+			if aerr != nil {
+				bad("load_assignment.%w", aerr)
+			}
+			c.Static = a
+			warn = append(warn, w...)
+		default:
+			bad("type: %v is not supported", m.GetType())
+		}
+	}
+	if b := m.GetCircuitBreakers(); b != nil {
+		sub(breakersTable, b, "circuit_breakers.")
+		for i, t := range b.GetThresholds() {
+			sub(thresholdsTable, t, fmt.Sprintf("circuit_breakers.thresholds[%d].", i))
+			if t.GetPriority() == corev3.RoutingPriority_DEFAULT {
+				c.MostConns, c.MostRequests = int(t.GetMaxConnections().GetValue()), int(t.GetMaxRequests().GetValue())
+			}
+		}
+	}
+	if h := m.GetCommonHttpProtocolOptions(); h != nil {
+		sub(httpTable, h, "common_http_protocol_options.")
+		if d := h.GetIdleTimeout(); d != nil {
+			c.IdleTimeout = max(d.AsDuration(), 0)
+		}
+	}
+	if l := m.GetCommonLbConfig(); l != nil {
+		sub(lbConfigTable, l, "common_lb_config.")
+		c.Localities = l.GetLocalityWeightedLbConfig() != nil
+	}
+	slow := func(s *clusterv3.Cluster_SlowStartConfig, path string) {
+		if s != nil {
+			sub(slowStartTable, s, path)
+			c.WarmUp = max(s.GetSlowStartWindow().AsDuration(), 0)
+		}
+	}
+	if l := m.GetLeastRequestLbConfig(); l != nil {
+		sub(leastTable, l, "least_request_lb_config.")
+		slow(l.GetSlowStartConfig(), "least_request_lb_config.slow_start_config.")
+	}
+	if l := m.GetRoundRobinLbConfig(); l != nil {
+		sub(roundTable, l, "round_robin_lb_config.")
+		slow(l.GetSlowStartConfig(), "round_robin_lb_config.slow_start_config.")
+	}
+	if err != nil {
+		return nil, nil, err
+	}
+	return c, warn, nil
+}
+
+// ParseAssignment checks a ClusterLoadAssignment.
+func ParseAssignment(m *endpointv3.ClusterLoadAssignment) (*Assignment, []string, error) {
+	return parseAssignment(m, false)
+}
+
+func parseAssignment(m *endpointv3.ClusterLoadAssignment, inCluster bool) (*Assignment, []string, error) {
+	a := &Assignment{Name: m.GetClusterName()}
+	if a.Name == "" && !inCluster {
+		return nil, nil, errors.New("cluster_name: is missing")
+	}
+	if m == nil {
+		return a, nil, nil
+	}
+	var warn []string
+	if err := assignmentTable.audit(m, "", &warn); err != nil {
+		return nil, nil, err
+	}
+	if err := a.policy(m.GetPolicy(), &warn); err != nil {
+		return nil, nil, err
+	}
+	seen, localities := map[string]string{}, map[string]bool{}
+	sums, present := map[uint32]uint64{}, map[uint32]bool{}
+	for i, l := range m.GetEndpoints() {
+		path := fmt.Sprintf("endpoints[%d].", i)
+		if err := localityTable.audit(l, path, &warn); err != nil {
+			return nil, nil, err
+		}
+		p, loc := l.GetPriority(), l.GetLocality()
+		name := strings.Join([]string{loc.GetRegion(), loc.GetZone(), loc.GetSubZone()}, "/")
+		if p > mostPriority {
+			return nil, nil, fmt.Errorf("%spriority: %d, %d at most", path, p, mostPriority)
+		}
+		if key := fmt.Sprint(p, name); localities[key] {
+			return nil, nil, fmt.Errorf("%slocality: %s stands twice in priority %d", path, name, p)
+		} else {
+			localities[key] = true
+		}
+		present[p] = true
+		w := l.GetLoadBalancingWeight()
+		if w != nil && w.GetValue() == 0 {
+			return nil, nil, fmt.Errorf("%sload_balancing_weight: want 1 at least", path)
+		}
+		if sums[p] += uint64(w.GetValue()); sums[p] > math.MaxUint32 {
+			return nil, nil, fmt.Errorf("%sload_balancing_weight: the localities' weights in priority %d add up to more than %d", path, p, uint32(math.MaxUint32))
+		}
+		var sum uint64
+		for j, e := range l.GetLbEndpoints() {
+			at := fmt.Sprintf("%slb_endpoints[%d].", path, j)
+			ep, err := parseEndpoint(e, at, &warn)
+			if err != nil {
+				return nil, nil, err
+			}
+			if first, ok := seen[ep.Address]; ok {
+				return nil, nil, fmt.Errorf("%sendpoint.address: %s stands at %s already", at, ep.Address, strings.TrimSuffix(first, "."))
+			}
+			seen[ep.Address] = at
+			if sum += uint64(ep.Weight); sum > math.MaxUint32 {
+				return nil, nil, fmt.Errorf("%sload_balancing_weight: the weights add up to more than %d", at, uint32(math.MaxUint32))
+			}
+			ep.Zone, ep.SubZone = cmp.Or(loc.GetZone(), loc.GetRegion()), loc.GetSubZone()
+			ep.Locality, ep.LocalityWeight, ep.Priority = name, w.GetValue(), int(p)
+			if a.Endpoints = append(a.Endpoints, ep); len(a.Endpoints) > mostEndpoints {
+				return nil, nil, fmt.Errorf("endpoints: more than %d", mostEndpoints)
+			}
+		}
+	}
+	for p := range uint32(len(present)) {
+		if !present[p] {
+			return nil, nil, fmt.Errorf("endpoints: priority %d is left out", p)
+		}
+	}
+	return a, warn, nil
+}
+
+func (a *Assignment) policy(p *endpointv3.ClusterLoadAssignment_Policy, warn *[]string) error {
+	if p == nil {
+		return nil
+	}
+	if err := policyTable.audit(p, "policy.", warn); err != nil {
+		return err
+	}
+	keep := 1.0
+	for i, d := range p.GetDropOverloads() {
+		of := map[typev3.FractionalPercent_DenominatorType]float64{typev3.FractionalPercent_HUNDRED: 100,
+			typev3.FractionalPercent_TEN_THOUSAND: 1e4, typev3.FractionalPercent_MILLION: 1e6}[d.GetDropPercentage().GetDenominator()]
+		if of == 0 {
+			return fmt.Errorf("policy.drop_overloads[%d].drop_percentage.denominator: not known", i)
+		}
+		keep *= 1 - min(float64(d.GetDropPercentage().GetNumerator())/of, 1)
+	}
+	a.Drop = 1 - keep
+	if d := p.GetEndpointStaleAfter(); d != nil {
+		if a.StaleAfter = d.AsDuration(); d.CheckValid() != nil || a.StaleAfter < 0 {
+			return errors.New("policy.endpoint_stale_after: is negative")
+		}
+	}
+	return nil
+}
+
+var healths = map[corev3.HealthStatus]membership.Health{corev3.HealthStatus_UNKNOWN: membership.Unknown,
+	corev3.HealthStatus_HEALTHY: membership.Healthy, corev3.HealthStatus_UNHEALTHY: membership.Unhealthy,
+	corev3.HealthStatus_DRAINING: membership.Draining, corev3.HealthStatus_TIMEOUT: membership.Timeout,
+	corev3.HealthStatus_DEGRADED: membership.Degraded}
+
+func parseEndpoint(m *endpointv3.LbEndpoint, path string, warn *[]string) (e Endpoint, err error) {
+	if err := lbTable.audit(m, path, warn); err != nil {
+		return e, err
+	}
+	if m.GetEndpoint() == nil {
+		return e, fmt.Errorf("%sendpoint: is missing", path)
+	}
+	if err := endpointTable.audit(m.GetEndpoint(), path+"endpoint.", warn); err != nil {
+		return e, err
+	}
+	s := m.GetEndpoint().GetAddress().GetSocketAddress()
+	if s == nil {
+		return e, fmt.Errorf("%sendpoint.address.socket_address: is missing, and others are not supported", path)
+	}
+	at := path + "endpoint.address.socket_address."
+	if err := addressTable.audit(s, at, warn); err != nil {
+		return e, err
+	}
+	if net.ParseIP(s.GetAddress()) == nil {
+		return e, fmt.Errorf("%saddress: %q is not an IP address", at, s.GetAddress())
+	}
+	if p := s.GetPortValue(); p == 0 || p > 65535 {
+		return e, fmt.Errorf("%sport_value: %d is not a port", at, p)
+	}
+	if s.GetProtocol() != corev3.SocketAddress_TCP {
+		return e, fmt.Errorf("%sprotocol: only TCP is supported", at)
+	}
+	health, ok := healths[m.GetHealthStatus()]
+	if !ok {
+		return e, fmt.Errorf("%shealth_status: %d is not known", path, m.GetHealthStatus())
+	}
+	e.Address = net.JoinHostPort(s.GetAddress(), strconv.Itoa(int(s.GetPortValue())))
+	e.Hostname, e.Health, e.Weight = m.GetEndpoint().GetHostname(), health, 1
+	if w := m.GetLoadBalancingWeight(); w != nil {
+		if e.Weight = float64(w.GetValue()); w.GetValue() == 0 {
+			return e, fmt.Errorf("%sload_balancing_weight: want 1 at least", path)
+		}
+	}
+	if f := m.GetMetadata().GetFilterMetadata()[metadataName].GetFields(); f != nil {
+		e.Kind = f["kind"].GetStringValue()
+		cell := f["cell"].GetNumberValue()
+		if cell < 0 || cell > math.MaxInt32 || cell != math.Trunc(cell) {
+			return e, fmt.Errorf("%smetadata.%s.cell: want a whole number from 0", path, metadataName)
+		}
+		e.Cell = int(cell)
+	}
+	return e, nil
+}
+
+// Word gives an assignment as its cluster's last word. Where the weights of localities count, a locality's weight is
+// shared among its endpoints by their own.
+func (a *Assignment) Word(source, version string, localities bool) membership.Word {
+	w := membership.Word{Source: source, Version: version, Endpoints: make([]membership.Endpoint, len(a.Endpoints))}
+	type place struct {
+		priority int
+		locality string
+	}
+	sums := map[place]float64{}
+	if localities {
+		for _, e := range a.Endpoints {
+			sums[place{e.Priority, e.Locality}] += e.Weight
+		}
+	}
+	for i, e := range a.Endpoints {
+		if localities {
+			e.Weight *= float64(max(e.LocalityWeight, 1)) / sums[place{e.Priority, e.Locality}]
+		}
+		w.Endpoints[i] = e.Endpoint
+	}
+	return w
+}
--- /dev/null
+++ b/internal/xds/routes.go
@@ -0,0 +1,296 @@
+package xds
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+
+	corev3 "github.com/envoyproxy/go-control-plane/envoy/config/core/v3"
+	routev3 "github.com/envoyproxy/go-control-plane/envoy/config/route/v3"
+	matcherv3 "github.com/envoyproxy/go-control-plane/envoy/type/matcher/v3"
+
+	"arrowhitch/internal/route"
+)
+
+// Routes is a RouteConfiguration in the words of package route.
+type Routes struct {
+	Name   string
+	Routes []route.Route
+	Table  *route.Table
+}
+
+// mostRoutes of a RouteConfiguration, and of one virtual host, whose order is checked pair by pair.
+const (
+	mostRoutes     = 100_000
+	mostHostRoutes = 2_000
+)
+
+var (
+	routesTable = table{honoured: []string{"name", "virtual_hosts"},
+		ignored: []string{"validate_clusters", "internal_only_headers", "ignore_port_in_host_matching", "metadata",
+			"max_direct_response_body_size_bytes", "response_headers_to_add", "response_headers_to_remove"}}
+	hostTable = table{honoured: []string{"name", "domains", "routes"},
+		ignored: []string{"metadata", "retry_policy", "include_request_attempt_count", "response_headers_to_add", "response_headers_to_remove"}}
+	routeTable = table{honoured: []string{"name", "match", "route", "metadata"},
+		ignored: []string{"decorator", "tracing", "stat_prefix", "response_headers_to_add", "response_headers_to_remove"}}
+	matchTable  = table{honoured: []string{"prefix", "path", "path_separated_prefix", "headers", "query_parameters", "case_sensitive"}}
+	actionTable = table{honoured: []string{"cluster", "weighted_clusters"},
+		ignored: []string{"timeout", "idle_timeout", "retry_policy", "cluster_not_found_response_code", "max_stream_duration", "priority", "hash_policy"}}
+	weightedTable = table{honoured: []string{"clusters"}, ignored: []string{"total_weight", "runtime_key_prefix"}}
+	weightTable   = table{honoured: []string{"name", "weight"}}
+	headerTable   = table{honoured: []string{"name", "exact_match", "present_match", "prefix_match", "suffix_match", "contains_match",
+		"string_match", "invert_match"}}
+	queryTable  = table{honoured: []string{"name", "string_match", "present_match"}}
+	stringTable = table{honoured: []string{"exact", "prefix", "suffix", "contains"}}
+)
+
+// ParseRoutes checks a RouteConfiguration. classes are those that a route's metadata may name; nil: any. Envoy takes the
+// first route of a virtual host that matches, package route the most specific one; an order in which the two differ is
+// refused.
+func ParseRoutes(m *routev3.RouteConfiguration, classes map[string]bool) (*Routes, []string, error) {
+	var warn []string
+	if m.GetName() == "" {
+		return nil, nil, errors.New("name: is missing")
+	}
+	if err := routesTable.audit(m, "", &warn); err != nil {
+		return nil, nil, err
+	}
+	c := &Routes{Name: m.GetName()}
+	for i, h := range m.GetVirtualHosts() {
+		at := fmt.Sprintf("virtual_hosts[%d].", i)
+		if err := hostTable.audit(h, at, &warn); err != nil {
+			return nil, nil, err
+		}
+		if len(h.GetDomains()) == 0 {
+			return nil, nil, fmt.Errorf("%sdomains: none is given", at)
+		}
+		if len(h.GetRoutes()) > mostHostRoutes {
+			return nil, nil, fmt.Errorf("%sroutes: %d, %d at most", at, len(h.GetRoutes()), mostHostRoutes)
+		}
+		first := len(c.Routes)
+		for j, r := range h.GetRoutes() {
+			out, err := parseRoute(r, fmt.Sprintf("%sroutes[%d].", at, j), classes, &warn)
+			if err != nil {
+				return nil, nil, err
+			}
+			out.Hosts = h.GetDomains()
+			for k := first; k < len(c.Routes); k++ {
+				if specific(&out, &c.Routes[k]) {
+					return nil, nil, fmt.Errorf("%sroutes[%d]: stands behind routes[%d], which takes some of what it would, but is more specific: put it first",
+						at, j, k-first)
+				}
+			}
+			if c.Routes = append(c.Routes, out); len(c.Routes) > mostRoutes {
+				return nil, nil, fmt.Errorf("virtual_hosts: more than %d routes", mostRoutes)
+			}
+		}
+	}
+	var err error
+	if c.Table, err = route.Compile(c.Routes, route.Options{HostsExclude: true}); err != nil {
+		return nil, nil, err
+	}
+	return c, warn, nil
+}
+
+// specific tells whether package route would give r some request that matches first as well.
+func specific(r, first *route.Route) bool {
+	covers := func(p *route.Route, path string) bool {
+		if !p.Textual {
+			pre := strings.TrimSuffix(p.Prefix, "/")
+			return path == pre || strings.HasPrefix(path, pre+"/")
+		}
+		return strings.HasPrefix(path, p.Prefix)
+	}
+	same := false
+	switch {
+	case first.Path != "" && r.Path != "":
+		if same = first.Path == r.Path; !same {
+			return false
+		}
+	case first.Path != "": // exact before prefix: as here
+		return false
+	case r.Path != "":
+		if !covers(first, r.Path) {
+			return false
+		}
+	default:
+		if same = first.Prefix == r.Prefix && first.Textual == r.Textual; !same && (!covers(first, r.Prefix) || len(first.Prefix) > len(r.Prefix)) {
+			return false
+		}
+	}
+	disjoint := func(x, y []route.Condition) bool {
+		for _, a := range x {
+			for _, b := range y {
+				if a.Name == b.Name && a.Op == route.Exact && b.Op == route.Exact && (a.Not == b.Not && !a.Not && a.Value != b.Value || a.Not != b.Not && a.Value == b.Value) {
+					return true
+				}
+			}
+		}
+		return false
+	}
+	if disjoint(r.Headers, first.Headers) || disjoint(r.Query, first.Query) || apart(r.Methods, first.Methods) {
+		return false
+	}
+	return !same || conditions(r) > conditions(first)
+}
+
+func conditions(r *route.Route) int {
+	n := len(r.Headers) + len(r.Query)
+	if len(r.Methods) > 0 {
+		n++
+	}
+	return n
+}
+
+func apart(x, y []string) bool {
+	if len(x) == 0 || len(y) == 0 {
+		return false
+	}
+	for _, a := range x {
+		for _, b := range y {
+			if a == b {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func parseRoute(m *routev3.Route, at string, classes map[string]bool, warn *[]string) (r route.Route, err error) {
+	if err := routeTable.audit(m, at, warn); err != nil {
+		return r, err
+	}
+	if m.GetMatch() == nil || m.GetRoute() == nil {
+		return r, fmt.Errorf("%smatch: a match and a route action are needed", at)
+	}
+	r.Name = m.GetName()
+	if err := parseMatch(m.GetMatch(), at+"match.", &r, warn); err != nil {
+		return r, err
+	}
+	a, path := m.GetRoute(), at+"route."
+	if err := actionTable.audit(a, path, warn); err != nil {
+		return r, err
+	}
+	switch {
+	case a.GetCluster() != "":
+		r.Clusters = []route.Weighted{{Cluster: a.GetCluster(), Weight: 1}}
+	case a.GetWeightedClusters() != nil:
+		if err := weightedTable.audit(a.GetWeightedClusters(), path+"weighted_clusters.", warn); err != nil {
+			return r, err
+		}
+		for i, w := range a.GetWeightedClusters().GetClusters() {
+			if err := weightTable.audit(w, fmt.Sprintf("%sweighted_clusters.clusters[%d].", path, i), warn); err != nil {
+				return r, err
+			}
+			r.Clusters = append(r.Clusters, route.Weighted{Cluster: w.GetName(), Weight: w.GetWeight().GetValue()})
+		}
+	default:
+		return r, fmt.Errorf("%scluster: is missing", path)
+	}
+	if f := m.GetMetadata().GetFilterMetadata()[metadataName].GetFields(); f != nil {
+		r.Class = f["class"].GetStringValue()
+		r.Key.Header, r.Key.Query = f["key_header"].GetStringValue(), f["key_query"].GetStringValue()
+		if r.Class != "" && classes != nil && !classes[r.Class] {
+			return r, fmt.Errorf("%smetadata.%s.class: there is no class %q", at, metadataName, r.Class)
+		}
+	}
+	return r, nil
+}
+
+func parseMatch(m *routev3.RouteMatch, at string, r *route.Route, warn *[]string) error {
+	if err := matchTable.audit(m, at, warn); err != nil {
+		return err
+	}
+	if m.GetCaseSensitive() != nil && !m.GetCaseSensitive().GetValue() {
+		return fmt.Errorf("%scase_sensitive: false is not supported", at)
+	}
+	switch p := m.GetPathSpecifier().(type) {
+	case *routev3.RouteMatch_Path:
+		r.Path = p.Path
+	case *routev3.RouteMatch_Prefix:
+		if r.Prefix, r.Textual = p.Prefix, true; r.Prefix == "/" { // which any path begins with
+			r.Textual = false
+		}
+	case *routev3.RouteMatch_PathSeparatedPrefix:
+		r.Prefix = p.PathSeparatedPrefix
+	}
+	if r.Path == "" && r.Prefix == "" {
+		return fmt.Errorf("%spath_specifier: one of prefix, path and path_separated_prefix is needed", at)
+	}
+	for i, h := range m.GetHeaders() {
+		path := fmt.Sprintf("%sheaders[%d].", at, i)
+		if err := headerTable.audit(h, path, warn); err != nil {
+			return err
+		}
+		c := route.Condition{Name: h.GetName(), Not: h.GetInvertMatch()}
+		switch s := h.GetHeaderMatchSpecifier().(type) {
+		case *routev3.HeaderMatcher_ExactMatch:
+			c.Op, c.Value = route.Exact, s.ExactMatch
+		case *routev3.HeaderMatcher_PrefixMatch:
+			c.Op, c.Value = route.Prefix, s.PrefixMatch
+		case *routev3.HeaderMatcher_SuffixMatch:
+			c.Op, c.Value = route.Suffix, s.SuffixMatch
+		case *routev3.HeaderMatcher_ContainsMatch:
+			c.Op, c.Value = route.Contains, s.ContainsMatch
+		case *routev3.HeaderMatcher_PresentMatch:
+			c.Not = c.Not == s.PresentMatch
+		case *routev3.HeaderMatcher_StringMatch:
+			if err := parseString(s.StringMatch, path+"string_match.", &c, warn); err != nil {
+				return err
+			}
+		}
+		if strings.HasPrefix(c.Name, ":") {
+			if c.Name != ":method" || c.Op != route.Exact || c.Not {
+				return fmt.Errorf("%sname: of %s only an exact :method is supported", path, c.Name)
+			}
+			r.Methods = append(r.Methods, c.Value)
+			continue
+		}
+		r.Headers = append(r.Headers, c)
+	}
+	if len(r.Methods) > 1 {
+		return fmt.Errorf("%sheaders: :method stands twice", at)
+	}
+	for i, q := range m.GetQueryParameters() {
+		path := fmt.Sprintf("%squery_parameters[%d].", at, i)
+		if err := queryTable.audit(q, path, warn); err != nil {
+			return err
+		}
+		c := route.Condition{Name: q.GetName()}
+		switch s := q.GetQueryParameterMatchSpecifier().(type) {
+		case *routev3.QueryParameterMatcher_PresentMatch:
+			c.Not = !s.PresentMatch
+		case *routev3.QueryParameterMatcher_StringMatch:
+			if err := parseString(s.StringMatch, path+"string_match.", &c, warn); err != nil {
+				return err
+			}
+		}
+		r.Query = append(r.Query, c)
+	}
+	return nil
+}
+
+func parseString(m *matcherv3.StringMatcher, at string, c *route.Condition, warn *[]string) error {
+	if err := stringTable.audit(m, at, warn); err != nil {
+		return err
+	}
+	switch p := m.GetMatchPattern().(type) {
+	case *matcherv3.StringMatcher_Exact:
+		c.Op, c.Value = route.Exact, p.Exact
+	case *matcherv3.StringMatcher_Prefix:
+		c.Op, c.Value = route.Prefix, p.Prefix
+	case *matcherv3.StringMatcher_Suffix:
+		c.Op, c.Value = route.Suffix, p.Suffix
+	case *matcherv3.StringMatcher_Contains:
+		c.Op, c.Value = route.Contains, p.Contains
+	default:
+		return fmt.Errorf("%smatch_pattern: is missing", at)
+	}
+	return nil
+}
+
+// node is how the gateway calls itself.
+func node(id, cluster, zone string) *corev3.Node {
+	return &corev3.Node{Id: id, Cluster: cluster, Locality: &corev3.Locality{Zone: zone}, UserAgentName: "robindrum",
+		ClientFeatures: []string{"xds.config.resource-in-sotw"}}
+}
