xds: the same resources from a file, and counters in the core

A fleet may stand in a file instead of a control plane. The core counts requests, answers and attempts, for a status page. News of the list is no longer held up by a client that reads nothing.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -138,9 +138,10 @@
 	Service string `yaml:"service,omitempty"` // the ClusterLoadAssignment's cluster_name; the cluster's where empty
 }
 
-// XDS is how control planes are spoken to.
+// XDS is how control planes are spoken to, or which file stands in for them.
 type XDS struct {
-	Servers   []string `yaml:"servers"` // asked in this order
+	Servers   []string `yaml:"servers,omitempty"` // asked in this order
+	Path      string   `yaml:"path,omitempty"`    // a file of resources in place of servers
 	Variant   Variant  `yaml:"variant"`
 	Node      Node     `yaml:"node"`
 	Clusters  bool     `yaml:"clusters"`                      // take all clusters that it names (CDS)
@@ -424,13 +425,16 @@
 	if x == nil {
 		return
 	}
-	if len(x.Servers) == 0 {
-		d.at("xds.servers", "none is given")
+	if len(x.Servers) == 0 && x.Path == "" {
+		d.at("xds.servers", "none is given, and no path")
+	}
+	if len(x.Servers) > 0 && x.Path != "" {
+		d.at("xds.path", "only one of servers and path can be set")
 	}
 	for i, s := range x.Servers {
 		address(d, fmt.Sprintf("xds.servers[%d]", i), s, false)
 	}
-	if x.Node.ID == "" {
+	if x.Node.ID == "" && x.Path == "" {
 		d.at("xds.node.id", "is missing: control planes tell gateways apart by it")
 	}
 	for name, v := range map[string]Duration{"connect_timeout": x.ConnectTimeout, "backoff_base": x.BackoffBase,
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -78,6 +78,7 @@
 	Held   int64 // bytes of the Allowance that end with it
 
 	id       string
+	taken    time.Duration
 	deadline time.Time
 	attempts []*backend.Attempt
 	running  int
@@ -124,6 +125,7 @@
 	upstreams map[string]*backend.Upstream
 	logged    time.Time
 	settled   []*request // to be told their answer once the lock is free
+	stats     Stats
 	retired   bool
 	idle      chan struct{} // closed when it is retired and nothing is in hand
 }
@@ -166,6 +168,8 @@
 			q.id, q.done, q.memory = q.Words.ID, make(chan struct{}), n.opt.Memory
 			n.requests[q.id] = q
 			n.open++
+			n.stats.Taken++
+			q.taken = now
 			q.deadline = n.boot.Add(now - n.base + q.Words.Left)
 			n.bal.Request(now, q.Words)
 		}
@@ -177,6 +181,7 @@
 func (n *Core) Abandon(q *Request) {
 	n.do(func(now time.Duration) {
 		if n.settle(q, Answer{Status: http.StatusBadGateway}) {
+			n.stats.Left++
 			n.bal.Gone(now, q.id)
 			n.release(q)
 		}
@@ -204,6 +209,35 @@
 	}
 }
 
+// Stats counts what a core did since its start.
+type Stats struct {
+	Taken    uint64 // requests
+	Served   uint64 // answered with an endpoint's answer
+	Refused  uint64 // answered 503: asking again is harmless
+	Failed   uint64 // answered, but not with a good answer
+	Left     uint64 // whose client left, or whose time ran out with no word of the decision module
+	Sends    uint64
+	Retries  uint64                    // of them, those after a request's first
+	Attempts [logic.NotSent + 1]uint64 // by result
+	Took     time.Duration             // from the request to its answer, all served ones together
+}
+
+// Add adds o to s.
+func (s *Stats) Add(o Stats) {
+	s.Taken, s.Served, s.Refused, s.Failed = s.Taken+o.Taken, s.Served+o.Served, s.Refused+o.Refused, s.Failed+o.Failed
+	s.Left, s.Sends, s.Retries, s.Took = s.Left+o.Left, s.Sends+o.Sends, s.Retries+o.Retries, s.Took+o.Took
+	for i := range s.Attempts {
+		s.Attempts[i] += o.Attempts[i]
+	}
+}
+
+// Stats gives the counters.
+func (n *Core) Stats() Stats {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.stats
+}
+
 // InHand is how many requests have no answer yet.
 func (n *Core) InHand() int {
 	n.mu.Lock()
@@ -215,11 +249,16 @@
 
 func (n *Core) do(event func(now time.Duration)) {
 	for _, r := range n.locked(event) {
-		r.Client.Answer(r.answer)
-		close(r.done)
+		n.tell(r)
 	}
 }
 
+// tell gives a request its whole answer.
+func (n *Core) tell(r *request) {
+	r.Client.Answer(r.answer)
+	close(r.done)
+}
+
 func (n *Core) locked(event func(now time.Duration)) []*request {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -231,12 +270,16 @@
 
 // Fleet takes news of the list.
 func (n *Core) Fleet(u discovery.Update) {
-	n.do(func(now time.Duration) {
+	settled := n.locked(func(now time.Duration) {
 		if u.Kind != logic.FleetRefused {
 			n.follow(u)
 		}
 		n.bal.Fleet(now, u.FleetUpdate)
 	})
+	// Danger: a client that reads nothing would hold up who brings the news.
+	for _, r := range settled {
+		n.work.Go(func() { n.tell(r) })
+	}
 	if u.Kind == logic.FleetAll || u.Kind == logic.FleetChanges || len(u.Servers) > 0 {
 		n.ready.Store(true)
 	}
@@ -305,11 +348,19 @@
 		switch own := (Answer{Status: reply.Status, Header: reply.Header, Body: reply.Body}); {
 		case streams:
 			r.stream = nil
+			if reply.Result == logic.Served {
+				n.served(now, r)
+			} else {
+				n.stats.Failed++
+			}
 		case reply.Result == logic.Served:
-			n.settle(r, own)
+			if n.settle(r, own) {
+				n.served(now, r)
+			}
 		case reply.Status != 0:
 			r.failed = &own
 		}
+		n.stats.Attempts[reply.Result]++
 		o.Done = r.answered && r.stream == nil
 		n.bal.Outcome(now, o)
 		n.release(r)
@@ -327,6 +378,11 @@
 	return ok
 }
 
+func (n *Core) served(now time.Duration, r *request) {
+	n.stats.Served++
+	n.stats.Took += now - r.taken
+}
+
 // close counts a request as answered.
 func (n *Core) close() {
 	n.open--
@@ -374,6 +430,10 @@
 		return
 	}
 	i := len(r.attempts)
+	n.stats.Sends++
+	if i > 0 {
+		n.stats.Retries++
+	}
 	r.running++
 	deadline := r.deadline
 	if expire > 0 {
@@ -405,6 +465,11 @@
 func (h *host) answer(id string, a Answer) {
 	n := (*Core)(h)
 	if r := n.requests[id]; n.settle(r, a) {
+		if a.Status == http.StatusServiceUnavailable && r.failed == nil {
+			n.stats.Refused++
+		} else {
+			n.stats.Failed++
+		}
 		n.release(r)
 	}
 }
