robindrum: serve, check, status, version, and try, which plays the main job on stand-ins

The gateway had no program. cmd/robindrum takes a YAML file, SIGHUP and SIGTERM; check gives every error at its line and prints all defaults; status asks a running gateway; try starts servers in two zones, a control plane and the gateway and sends 5,000 requests while one server is slow, one drains, one dies and the control plane goes away, and exits with 1 if a rule broke.

--- /dev/null
+++ b/cmd/robindrum/main.go
@@ -0,0 +1,69 @@
+// Robindrum is a load-balancing gateway: it takes a YAML file, serves several clusters behind its listeners, and follows
+// endpoints from the file, from files of resources, or from control planes that speak xDS.
+//
+// Exit codes: 0 all is well, 1 the command failed or its file cannot be used, 2 the command line cannot be used.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/spf13/cobra"
+)
+
+// errUsage marks errors of the command line.
+var errUsage = errors.New("see -h")
+
+func root() *cobra.Command {
+	c := &cobra.Command{Use: "robindrum", Short: "A load-balancing gateway", SilenceUsage: true, SilenceErrors: true,
+		Args: cobra.NoArgs, CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true}}
+	c.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return fmt.Errorf("%w: %w", err, errUsage) })
+	c.AddCommand(serveCommand(), checkCommand(), statusCommand(), tryCommand(), versionCommand())
+	return c
+}
+
+func versionCommand() *cobra.Command {
+	return &cobra.Command{Use: "version", Short: "Say which build this is", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			version := "unknown"
+			if i, ok := debug.ReadBuildInfo(); ok {
+				version = i.Main.Version + " " + i.GoVersion
+			}
+			_, err := fmt.Fprintln(c.OutOrStdout(), "robindrum", version)
+			return err
+		}}
+}
+
+// run is main without the process: it gives the exit code.
+func run(ctx context.Context, args []string, out, errs io.Writer) int {
+	c := root()
+	c.SetArgs(args)
+	c.SetOut(out)
+	c.SetErr(errs)
+	err := c.ExecuteContext(ctx)
+	switch {
+	case err == nil:
+		return 0
+	case !errors.Is(err, errReported):
+		fmt.Fprintln(errs, "robindrum:", err)
+	}
+	if errors.Is(err, errUsage) {
+		return 2
+	}
+	return 1
+}
+
+// errReported marks errors whose words the user has had already.
+var errReported = errors.New("reported")
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	os.Exit(run(ctx, os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/cmd/robindrum/serve.go
@@ -0,0 +1,229 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"arrowhitch/internal/config"
+	"arrowhitch/internal/gateway"
+)
+
+func logger(c config.Log, w io.Writer) *slog.Logger {
+	var level slog.Level
+	_ = level.UnmarshalText([]byte(c.Level)) // the configuration was checked
+	opt := &slog.HandlerOptions{Level: level}
+	if c.Format == "json" {
+		return slog.New(slog.NewJSONHandler(w, opt))
+	}
+	return slog.New(slog.NewTextHandler(w, opt))
+}
+
+func serveCommand() *cobra.Command {
+	var path string
+	c := &cobra.Command{Use: "serve -c FILE", Short: "Run the gateway", Args: cobra.NoArgs,
+		Long: "Run the gateway until SIGTERM or an interrupt, then answer what is in hand.\nSIGHUP takes over the file anew; one that cannot be used changes nothing and shows in /status.",
+		RunE: func(c *cobra.Command, _ []string) error {
+			hup := make(chan os.Signal, 1)
+			signal.Notify(hup, syscall.SIGHUP)
+			defer signal.Stop(hup)
+			return serve(c.Context(), path, hup, c.ErrOrStderr())
+		}}
+	c.Flags().StringVarP(&path, "config", "c", "", "the configuration `file`")
+	must(c.MarkFlagRequired("config"))
+	return c
+}
+
+// must is for errors that only a mistake in this program can cause.
+func must(err error) {
+	if err != nil {
+		panic(err)
+	}
+}
+
+func serve(ctx context.Context, path string, hup <-chan os.Signal, errs io.Writer) error {
+	f, err := config.Load(path)
+	if err != nil {
+		return err
+	}
+	log := logger(f.Log, errs)
+	slog.SetDefault(log)
+	g, err := gateway.New(f, log)
+	if err != nil {
+		return err
+	}
+	defer g.Close()
+	for _, l := range f.Listeners {
+		log.Info("listening", "listener", l.Name, "address", g.Addr(l.Name).String())
+	}
+	if a := g.AdminAddr(); a != nil {
+		log.Info("listening for operators", "address", a.String())
+	}
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-hup:
+			n, err := config.Load(path)
+			if err != nil {
+				g.Refuse(err)
+				continue
+			}
+			if g.Reload(n) == nil { // which tells why not
+				f = n
+				log.Info("the configuration was taken over", "file", path)
+			}
+		}
+	}
+	log.Info("stopping", "at most", f.Limits.Drain.D())
+	until, cancel := context.WithTimeout(context.WithoutCancel(ctx), f.Limits.Drain.D())
+	defer cancel()
+	g.Stop(until)
+	return nil
+}
+
+func checkCommand() *cobra.Command {
+	var path string
+	var show bool
+	c := &cobra.Command{Use: "check -c FILE", Short: "Say whether a configuration can be used", Args: cobra.NoArgs,
+		Long: "Check the file, and the files of resources that it names, and give every error as file:line:column: field: reason.",
+		RunE: func(c *cobra.Command, _ []string) error {
+			f, err := config.Load(path)
+			if err != nil {
+				fmt.Fprintln(c.ErrOrStderr(), err)
+				return errReported
+			}
+			if err := gateway.CheckFiles(f); err != nil {
+				fmt.Fprintln(c.ErrOrStderr(), err)
+				return errReported
+			}
+			if !show {
+				fmt.Fprintf(c.OutOrStdout(), "%s: %d listeners, %d clusters, %d routes, %d classes: good\n", path, len(f.Listeners),
+					len(f.Clusters), len(f.Routes), len(f.Classes))
+				return nil
+			}
+			text, err := f.Print()
+			if err != nil {
+				return err
+			}
+			_, err = c.OutOrStdout().Write(text)
+			return err
+		}}
+	c.Flags().StringVarP(&path, "config", "c", "", "the configuration `file`")
+	c.Flags().BoolVar(&show, "print", false, "print the file with all defaults")
+	must(c.MarkFlagRequired("config"))
+	return c
+}
+
+func statusCommand() *cobra.Command {
+	var addr string
+	var plain bool
+	c := &cobra.Command{Use: "status", Short: "Ask a running gateway how it stands", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			ctx, cancel := context.WithTimeout(c.Context(), 10*time.Second)
+			defer cancel()
+			r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/status", nil)
+			if err != nil {
+				return fmt.Errorf("%w: %w", err, errUsage)
+			}
+			resp, err := http.DefaultClient.Do(r)
+			if err != nil {
+				return err
+			}
+			defer resp.Body.Close()
+			if resp.StatusCode != http.StatusOK {
+				return fmt.Errorf("%s answered %s", addr, resp.Status)
+			}
+			body := io.LimitReader(resp.Body, 256<<20)
+			if plain {
+				_, err := io.Copy(c.OutOrStdout(), body)
+				return err
+			}
+			var s gateway.Status
+			if err := json.NewDecoder(body).Decode(&s); err != nil {
+				return fmt.Errorf("%s: %w", addr, err)
+			}
+			return show(c.OutOrStdout(), &s)
+		}}
+	c.Flags().StringVarP(&addr, "admin", "a", "127.0.0.1:9901", "the gateway's admin `address`")
+	c.Flags().BoolVar(&plain, "json", false, "print what the gateway says as it is")
+	return c
+}
+
+// show prints a status for people.
+func show(out io.Writer, s *gateway.Status) error {
+	yes := map[bool]string{true: "yes", false: "NO"}
+	fmt.Fprintf(out, "ready %s, up %s, configuration %s taken over %s ago\n", yes[s.Ready], seconds(s.Uptime), s.Config.Path, seconds(s.Config.Age))
+	if s.Config.Refused != "" {
+		fmt.Fprintf(out, "REFUSED %s ago, the one before goes on:\n  %s\n", seconds(s.Config.RefusedAge), strings.ReplaceAll(s.Config.Refused, "\n", "\n  "))
+	}
+	for _, src := range s.Sources {
+		state := "connected to " + src.Connected
+		if src.Connected == "" {
+			state = "NOT CONNECTED"
+		}
+		heard := "no word yet"
+		if src.Heard != nil {
+			heard = "last word " + seconds(*src.Heard) + " ago"
+		}
+		fmt.Fprintf(out, "source %s: %s, %s\n", src.Name, state, heard)
+		if src.Error != "" {
+			fmt.Fprintf(out, "  last error: %s\n", src.Error)
+		}
+		for _, t := range src.Types {
+			if t.Error != "" {
+				fmt.Fprintf(out, "  %s refused: %s\n", t.Type, t.Error)
+			}
+		}
+	}
+	if s.Routes.Pending {
+		fmt.Fprintln(out, "new routes wait for their clusters' endpoints")
+	}
+	if s.Routes.Refused != "" {
+		fmt.Fprintf(out, "routes of the control plane: %s\n", s.Routes.Refused)
+	}
+	for _, n := range s.Routes.Missing {
+		fmt.Fprintf(out, "routes lead to cluster %s, which nobody knows\n", n)
+	}
+	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "CLUSTER\tSOURCE\tVERSION\tLAST WORD\tUSABLE\tIN HAND\tSERVED\tREFUSED\tFAILED\tRETRIES")
+	for _, c := range s.Clusters {
+		age := "none"
+		if c.Age != nil {
+			age = seconds(*c.Age)
+		}
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d/%d\t%d\t%d\t%d\t%d\t%d\n", c.Name, c.Source, c.Version, age, c.Usable, len(c.Endpoints), c.InHand,
+			c.Requests.Served, c.Requests.Refused, c.Requests.Failed, c.Requests.Retries)
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	for _, c := range s.Clusters {
+		if c.Stale != "" {
+			fmt.Fprintf(out, "%s: its list is not used: %s\n", c.Name, c.Stale)
+		}
+		if c.Refused != "" {
+			fmt.Fprintf(out, "%s: the newest update is refused: %s\n", c.Name, c.Refused)
+		}
+		for _, e := range c.Endpoints {
+			if e.Out != "" && c.Stale == "" {
+				fmt.Fprintf(out, "%s: %s is out: %s\n", c.Name, e.Address, e.Out)
+			}
+		}
+	}
+	return nil
+}
+
+func seconds(s float64) string {
+	return time.Duration(s * float64(time.Second)).Round(100 * time.Millisecond).String()
+}
--- a/internal/standin/origin/origin.go
+++ b/internal/standin/origin/origin.go
@@ -203,3 +203,21 @@
 	w.Header().Set("X-Origin", o.Addr)
 	fmt.Fprintln(w, r.URL.Path)
 }
+
+// Twice is how many keys took effect more than once in several groups together.
+func Twice(groups ...*Ledger) (twice int) {
+	sum := map[string]int{}
+	for _, l := range groups {
+		l.mu.Lock()
+		for key, n := range l.runs {
+			sum[key] += n
+		}
+		l.mu.Unlock()
+	}
+	for _, n := range sum {
+		if n > 1 {
+			twice++
+		}
+	}
+	return twice
+}
--- /dev/null
+++ b/internal/try/try_test.go
@@ -0,0 +1,54 @@
+package try
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"arrowhitch/internal/fakes"
+)
+
+// The play goes through all its scenes and breaks no rule, on a terminal and elsewhere.
+func TestPlay(t *testing.T) {
+	for name, redraw := range map[string]bool{"lines": false, "terminal": true} {
+		t.Run(name, func(t *testing.T) {
+			fakes.Leaks(t)
+			var out bytes.Buffer
+			s, err := Run(context.Background(), Options{Length: 5 * time.Second, Rate: 150, Out: &out, Redraw: redraw})
+			if err != nil || s.Broken() != nil {
+				t.Errorf("%v, %v\n%s", err, s.Broken(), out.String())
+			}
+			if s.Sent != 750 || s.Served+s.Refused+s.Failed != s.Sent {
+				t.Errorf("%+v", s)
+			}
+			s.Print(&out)
+			for _, want := range []string{"sapporo-2 drains", "ishikari-2 dies", "port 0", "the control plane goes away", "older version", "lost                      0"} {
+				if !strings.Contains(out.String(), want) {
+					t.Errorf("%q is missing in\n%s", want, out.String())
+				}
+			}
+		})
+	}
+}
+
+func TestBrokenRulesShow(t *testing.T) {
+	for name, s := range map[string]Summary{"lost": {Served: 1, Lost: 1}, "twice": {Served: 1, Twice: 1}, "drain": {Served: 1, AfterDrain: 1},
+		"nothing": {}, "unready": {Unready: true}} {
+		if s.Broken() == nil {
+			t.Errorf("%s: good", name)
+		}
+	}
+	if err := (Summary{Served: 1}).Broken(); err != nil {
+		t.Error(err)
+	}
+	if _, err := Run(context.Background(), Options{Length: time.Hour, Rate: 1000}); err == nil {
+		t.Error("a play without end is played")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if _, err := Run(ctx, Options{Out: &bytes.Buffer{}}); err == nil {
+		t.Error("a play that is called off is good")
+	}
+}
