--- a/cmd/robindrum/main.go
+++ b/cmd/robindrum/main.go
@@ -22,14 +22,22 @@
 
 func root() *cobra.Command {
 	c := &cobra.Command{Use: "robindrum", Short: "A load-balancing gateway", SilenceUsage: true, SilenceErrors: true,
-		Args: cobra.NoArgs, CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true}}
+		Args: noArgs, RunE: func(c *cobra.Command, _ []string) error { return c.Help() },
+		CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true}}
 	c.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return fmt.Errorf("%w: %w", err, errUsage) })
 	c.AddCommand(serveCommand(), checkCommand(), statusCommand(), tryCommand(), versionCommand())
 	return c
 }
 
+func noArgs(c *cobra.Command, args []string) error {
+	if err := cobra.NoArgs(c, args); err != nil {
+		return fmt.Errorf("%w: %w", err, errUsage)
+	}
+	return nil
+}
+
 func versionCommand() *cobra.Command {
-	return &cobra.Command{Use: "version", Short: "Say which build this is", Args: cobra.NoArgs,
+	return &cobra.Command{Use: "version", Short: "Say which build this is", Args: noArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			version := "unknown"
 			if i, ok := debug.ReadBuildInfo(); ok {
--- a/cmd/robindrum/serve.go
+++ b/cmd/robindrum/serve.go
@@ -32,7 +32,7 @@
 
 func serveCommand() *cobra.Command {
 	var path string
-	c := &cobra.Command{Use: "serve -c FILE", Short: "Run the gateway", Args: cobra.NoArgs,
+	c := &cobra.Command{Use: "serve -c FILE", Short: "Run the gateway", Args: noArgs,
 		Long: "Run the gateway until SIGTERM or an interrupt, then answer what is in hand.\nSIGHUP takes over the file anew; one that cannot be used changes nothing and shows in /status.",
 		RunE: func(c *cobra.Command, _ []string) error {
 			hup := make(chan os.Signal, 1)
@@ -95,7 +95,7 @@
 func checkCommand() *cobra.Command {
 	var path string
 	var show bool
-	c := &cobra.Command{Use: "check -c FILE", Short: "Say whether a configuration can be used", Args: cobra.NoArgs,
+	c := &cobra.Command{Use: "check -c FILE", Short: "Say whether a configuration can be used", Args: noArgs,
 		Long: "Check the file, and the files of resources that it names, and give every error as file:line:column: field: reason.",
 		RunE: func(c *cobra.Command, _ []string) error {
 			f, err := config.Load(path)
@@ -128,7 +128,7 @@
 func statusCommand() *cobra.Command {
 	var addr string
 	var plain bool
-	c := &cobra.Command{Use: "status", Short: "Ask a running gateway how it stands", Args: cobra.NoArgs,
+	c := &cobra.Command{Use: "status", Short: "Ask a running gateway how it stands", Args: noArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			ctx, cancel := context.WithTimeout(c.Context(), 10*time.Second)
 			defer cancel()
--- a/cmd/robindrum/try.go
+++ b/cmd/robindrum/try.go
@@ -15,7 +15,7 @@
 	var length time.Duration
 	var rate int
 	var verbose bool
-	c := &cobra.Command{Use: "try", Short: "Play the main job on embedded stand-ins", Args: cobra.NoArgs,
+	c := &cobra.Command{Use: "try", Short: "Play the main job on embedded stand-ins", Args: noArgs,
 		Long: "Start servers in two zones, a control plane and a gateway on loopback, send a bounded load and show what happens while a\n" +
 			"server is slow, one drains, one dies and the control plane goes away. Exits with 1 if a rule broke.",
 		RunE: func(c *cobra.Command, _ []string) error {
--- a/internal/xds/client.go
+++ b/internal/xds/client.go
@@ -262,8 +262,12 @@
 		for _, m := range out {
 			if err := s.send(m); err != nil {
 				// Why the stream broke is what reading it gives.
-				if r, ok := <-in; ok && r.err != nil {
-					err = r.err
+				select {
+				case r := <-in:
+					if r.err != nil {
+						err = r.err
+					}
+				case <-ctx.Done(): // and the reader has gone
 				}
 				return heard, err
 			}
--- a/internal/xds/client_test.go
+++ b/internal/xds/client_test.go
@@ -280,3 +280,26 @@
 		}
 	})
 }
+
+// A client that is ended while it connects ends at once, whatever it was about to send.
+func TestEndsWhileItConnects(t *testing.T) {
+	fakes.Leaks(t)
+	s := serve(t)
+	push(t, s, "1", cds("a"), eps("a", "127.0.0.1:1"))
+	for i := range 50 {
+		opt := ClientOptions{Servers: []string{s.Addr}, ConnectTimeout: fakes.Patience, BackoffBase: time.Millisecond, BackoffMost: time.Millisecond,
+			Keepalive: time.Minute, Message: 1 << 20, Now: func() time.Duration { return 1 }, Log: slog.New(slog.DiscardHandler), Options: Options{Clusters: true}}
+		c := NewClient(opt, &told{all: map[string]Resource{}, at: map[string][]string{}})
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			c.Run(ctx)
+			close(done)
+		}()
+		if i%2 == 0 {
+			fakes.Eventually(t, "the connection", func() bool { return c.Link().Streams > 0 })
+		}
+		cancel()
+		fakes.Within(t, "the end", done)
+	}
+}
