measure: figures of the gateway that anyone can take again; staticcheck

The issue asks for figures side by side in one run. tools/measure runs robindrum, arrowhitch and httputil.ReverseProxy in processes of their own over the same servers in turn; measures the time from a push to the last request that a removed endpoint gets; and memory and CPU by clusters and endpoints.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -278,7 +278,7 @@
 		case "/304":
 			w.WriteHeader(304)
 		case "/302":
-			http.Redirect(w, r, "/elsewhere", 302)
+			http.Redirect(w, r, "/elsewhere", http.StatusFound)
 		case "/404":
 			http.Error(w, "none here", 404)
 		case "/429":
--- a/internal/xds/machine_test.go
+++ b/internal/xds/machine_test.go
@@ -543,3 +543,48 @@
 		}
 	})
 }
+
+// An hour of names that are ever new leaves nothing behind.
+func TestNamesThatAreEverNew(t *testing.T) {
+	for _, delta := range []bool{false, true} {
+		m := NewMachine(Options{Clusters: true, Delta: delta})
+		m.Begin(sec)
+		var before []string
+		for i := range 3600 {
+			now := time.Duration(i+1) * sec
+			names := []string{fmt.Sprint("a", i), fmt.Sprint("b", i)}
+			if !delta {
+				m.SotW(now, clusters(t, fmt.Sprint(i), "n", names...))
+			} else {
+				d := &discoveryv3.DeltaDiscoveryResponse{TypeUrl: string(ClusterType), RemovedResources: before}
+				for _, n := range names {
+					d.Resources = append(d.Resources, &discoveryv3.Resource{Name: n, Version: "1", Resource: pack(t, controlplane.Cluster(n, ""))})
+				}
+				m.Delta(now, d)
+			}
+			before = names
+		}
+		for _, s := range m.Summaries() {
+			if s.Resources != 2 {
+				t.Errorf("delta %v: %d resources of %s are kept", delta, s.Resources, s.Type.Short())
+			}
+		}
+	}
+}
+
+// Names that go round in a circle are names and nothing more.
+func TestCycleOfNames(t *testing.T) {
+	m := NewMachine(Options{Clusters: true, Routes: "a"})
+	m.Begin(sec)
+	r := &discoveryv3.DiscoveryResponse{TypeUrl: string(ClusterType), VersionInfo: "1", Nonce: "n", Resources: []*anypb.Any{
+		pack(t, controlplane.Cluster("a", "b")), pack(t, controlplane.Cluster("b", "a")), pack(t, controlplane.Cluster("c", "c"))}}
+	out, _ := m.SotW(sec, r)
+	if len(out) != 2 || !slices.Equal(out[1].SotW.GetResourceNames(), []string{"a", "b", "c"}) {
+		t.Errorf("%v", out)
+	}
+	out, changes := m.SotW(2*sec, &discoveryv3.DiscoveryResponse{TypeUrl: string(RouteType), VersionInfo: "1", Nonce: "n", Resources: []*anypb.Any{
+		pack(t, controlplane.Routes("a", [2]string{"/", "a"}))}})
+	if out[0].SotW.GetErrorDetail() != nil || len(changes) != 1 {
+		t.Errorf("%v", out)
+	}
+}
--- a/internal/xds/resource.go
+++ b/internal/xds/resource.go
@@ -207,6 +207,7 @@
 			}
 		}
 	}
+	//lint:ignore SA1019 control planes still send it here
 	if h := m.GetCommonHttpProtocolOptions(); h != nil {
 		sub(httpTable, h, "common_http_protocol_options.")
 		if d := h.GetIdleTimeout(); d != nil {
--- a/internal/xds/routes.go
+++ b/internal/xds/routes.go
@@ -225,12 +225,16 @@
 		c := route.Condition{Name: h.GetName(), Not: h.GetInvertMatch()}
 		switch s := h.GetHeaderMatchSpecifier().(type) {
 		case *routev3.HeaderMatcher_ExactMatch:
+			//lint:ignore SA1019 control planes still send it
 			c.Op, c.Value = route.Exact, s.ExactMatch
 		case *routev3.HeaderMatcher_PrefixMatch:
+			//lint:ignore SA1019 control planes still send it
 			c.Op, c.Value = route.Prefix, s.PrefixMatch
 		case *routev3.HeaderMatcher_SuffixMatch:
+			//lint:ignore SA1019 control planes still send it
 			c.Op, c.Value = route.Suffix, s.SuffixMatch
 		case *routev3.HeaderMatcher_ContainsMatch:
+			//lint:ignore SA1019 control planes still send it
 			c.Op, c.Value = route.Contains, s.ContainsMatch
 		case *routev3.HeaderMatcher_PresentMatch:
 			c.Not = c.Not == s.PresentMatch
--- /dev/null
+++ b/tools/measure/main.go
@@ -0,0 +1,533 @@
+// Measure is the gateway's figures that anyone can take again, on loopback and in bounded time:
+//
+//	go run ./tools/measure proxy   requests a second and CPU a request: robindrum, arrowhitch, httputil.ReverseProxy
+//	go run ./tools/measure push    time from a push to the last request that a removed endpoint gets
+//	go run ./tools/measure size    memory and CPU by the number of clusters and endpoints
+//
+// What is measured runs in a process of its own; the load and the stand-ins run in this one.
+package main
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"net/url"
+	"os"
+	"os/exec"
+	"os/signal"
+	"runtime"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"arrowhitch/internal/backend"
+	"arrowhitch/internal/config"
+	"arrowhitch/internal/discovery"
+	"arrowhitch/internal/gateway"
+	"arrowhitch/internal/node"
+	"arrowhitch/internal/standin/controlplane"
+	"arrowhitch/internal/standin/origin"
+	"arrowhitch/logic"
+)
+
+func main() {
+	slog.SetDefault(slog.New(slog.DiscardHandler))
+	requests := flag.Int("requests", 20000, "requests of one round of proxy, 200000 at most")
+	rounds := flag.Int("rounds", 5, "rounds of proxy")
+	updates := flag.Int("updates", 1000, "updates of push, 5000 at most")
+	flag.Parse()
+	var err error
+	switch flag.Arg(0) {
+	case "proxy":
+		err = proxy(min(*requests, 200000), min(*rounds, 20))
+	case "push":
+		err = push(min(*updates, 5000))
+	case "size":
+		err = size()
+	case "child": // what is measured
+		err = child(flag.Arg(1), flag.Args()[2:])
+	default:
+		err = errors.New("want proxy, push or size")
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "measure:", err)
+		os.Exit(1)
+	}
+}
+
+func machine() {
+	fmt.Printf("%s, %s/%s, %d processors\n", runtime.Version(), runtime.GOOS, runtime.GOARCH, runtime.NumCPU())
+}
+
+// process is a child that said where it listens.
+type process struct {
+	cmd  *exec.Cmd
+	in   io.Closer
+	addr []string
+}
+
+func start(kind string, args ...string) (*process, error) {
+	self, err := os.Executable()
+	if err != nil {
+		return nil, err
+	}
+	cmd := exec.Command(self, append([]string{"child", kind}, args...)...)
+	cmd.Stderr = os.Stderr
+	in, err := cmd.StdinPipe() // its end is the child's
+	if err != nil {
+		return nil, err
+	}
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		return nil, err
+	}
+	if err := cmd.Start(); err != nil {
+		return nil, err
+	}
+	line, err := bufio.NewReader(out).ReadString('\n')
+	if err != nil {
+		return nil, fmt.Errorf("%s did not start: %w", kind, err)
+	}
+	return &process{cmd, in, strings.Fields(line)}, nil
+}
+
+// stop ends it.
+func (p *process) stop() {
+	p.in.Close()
+	_ = p.cmd.Wait()
+}
+
+// usage is the CPU time that it has used and its resident memory.
+func (p *process) usage() (cpu time.Duration, resident int64) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+	if err != nil {
+		return 0, 0
+	}
+	f := strings.Fields(string(text[strings.LastIndexByte(string(text), ')')+1:]))
+	ticks := func(i int) int64 { n, _ := strconv.ParseInt(f[i], 10, 64); return n }
+	return time.Duration(ticks(11)+ticks(12)) * 10 * time.Millisecond, ticks(21) * int64(os.Getpagesize())
+}
+
+func child(kind string, args []string) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+	defer stop()
+	ended := make(chan struct{})
+	go func() {
+		_, _ = io.Copy(io.Discard, os.Stdin)
+		close(ended)
+	}()
+	var end func()
+	switch kind {
+	case "reverse":
+		u, err := url.Parse("http://" + args[0])
+		if err != nil {
+			return err
+		}
+		p := httputil.NewSingleHostReverseProxy(u)
+		p.Transport = &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		s := &http.Server{Handler: p}
+		go func() { _ = s.Serve(l) }()
+		fmt.Println(l.Addr())
+		end = func() { s.Close() }
+	case "arrowhitch":
+		budget := backend.NewBudget(1024)
+		set := logic.Settings{Zone: "a", Zones: []string{"a"}, Proxies: 1, MaxAttempts: 3, MayCancel: true, ParallelTries: true,
+			Classes: []logic.Class{{Name: "x", Aim: time.Second, Deadline: 5 * time.Second, Effect: logic.Safe, Worth: 1}}}
+		n, err := node.New(node.Options{Settings: set, Seed: 1, BodyBytes: 64 << 20, Budget: budget}, backend.NewPool(backend.Options{}, budget))
+		if err != nil {
+			return err
+		}
+		u := discovery.Update{FleetUpdate: logic.FleetUpdate{Kind: logic.FleetAll}, Endpoints: map[string]string{}}
+		for _, a := range args {
+			u.Servers = append(u.Servers, logic.Server{ID: a, Zone: "a", Weight: 1})
+			u.Endpoints[a] = a
+		}
+		n.Fleet(u)
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		go n.Serve(l)
+		fmt.Println(l.Addr())
+		end = func() { l.Close(); n.Close() }
+	case "robindrum":
+		f, err := config.Parse("measure.yaml", []byte(args[0]))
+		if err != nil {
+			return err
+		}
+		g, err := gateway.New(f, slog.New(slog.DiscardHandler))
+		if err != nil {
+			return err
+		}
+		fmt.Println(g.Addr("web"), g.AdminAddr())
+		end = g.Close
+	default:
+		return fmt.Errorf("no such child: %s", kind)
+	}
+	select {
+	case <-ctx.Done():
+	case <-ended:
+	}
+	end()
+	return nil
+}
+
+// bare answers each request on its connections with the same bytes, at as little cost as there is.
+func bare() (net.Listener, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	answer := []byte("HTTP/1.1 200 OK\r\nContent-Length: 128\r\nContent-Type: text/plain\r\n\r\n" + strings.Repeat("x", 128))
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				r := bufio.NewReader(c)
+				for {
+					for { // a head; there are no bodies
+						line, err := r.ReadSlice('\n')
+						if err != nil {
+							return
+						}
+						if len(line) <= 2 {
+							break
+						}
+					}
+					if _, err := c.Write(answer); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return l, nil
+}
+
+// drive sends n requests over some connections, one at a time on each.
+func drive(addr string, n, conns int) (took time.Duration, refused int64, err error) {
+	var left, no atomic.Int64
+	left.Store(int64(n))
+	var all sync.WaitGroup
+	errs := make(chan error, conns)
+	began := time.Now()
+	for i := range conns {
+		all.Go(func() {
+			c, err := net.Dial("tcp", addr)
+			if err != nil {
+				errs <- err
+				return
+			}
+			defer c.Close()
+			r := bufio.NewReader(c)
+			for left.Add(-1) >= 0 {
+				if _, err := fmt.Fprintf(c, "GET /x/1 HTTP/1.1\r\nHost: x\r\nX-Qos: x\r\nX-Trace-Id: %d-%d\r\nAccept: */*\r\n\r\n", i, left.Load()); err != nil {
+					errs <- err
+					return
+				}
+				resp, err := http.ReadResponse(r, nil)
+				if err != nil {
+					errs <- err
+					return
+				}
+				_, err = io.Copy(io.Discard, resp.Body)
+				if err == nil && resp.StatusCode == http.StatusServiceUnavailable && no.Add(1) < int64(n) {
+					left.Add(1) // asked again: only what is served counts
+					continue
+				}
+				if err != nil || resp.StatusCode != http.StatusOK {
+					errs <- fmt.Errorf("%s, %v", resp.Status, err)
+					return
+				}
+			}
+		})
+	}
+	all.Wait()
+	took = time.Since(began)
+	select {
+	case err = <-errs:
+	default:
+	}
+	return took, no.Load(), err
+}
+
+func proxy(n, rounds int) error {
+	machine()
+	var origins []string
+	for range 2 {
+		l, err := bare()
+		if err != nil {
+			return err
+		}
+		defer l.Close()
+		origins = append(origins, l.Addr().String())
+	}
+	conf := fmt.Sprintf("listeners: [{name: web, address: '127.0.0.1:0'}]\nadmin: {address: none}\nclusters: [{name: c, endpoints: [{address: %q}, {address: %q}]}]\nroutes: [{match: {prefix: /}, cluster: c}]\n",
+		origins[0], origins[1])
+	kinds := []struct {
+		name string
+		args []string
+	}{{"robindrum", []string{conf}}, {"arrowhitch", origins}, {"reverse", origins[:1]}}
+	type figure struct {
+		rate, cpu float64
+		refused   int64
+	}
+	got := map[string][]figure{}
+	for round := range rounds {
+		for _, k := range kinds {
+			p, err := start(k.name, k.args...)
+			if err != nil {
+				return err
+			}
+			if _, _, err := drive(p.addr[0], n/10+1, 32); err != nil { // warm
+				return fmt.Errorf("%s: %w", k.name, err)
+			}
+			before, _ := p.usage()
+			took, no, err := drive(p.addr[0], n, 32)
+			if err != nil {
+				return fmt.Errorf("%s: %w", k.name, err)
+			}
+			after, _ := p.usage()
+			p.stop()
+			got[k.name] = append(got[k.name], figure{float64(n) / took.Seconds(), float64((after - before).Microseconds()) / float64(n), no})
+		}
+		fmt.Fprintf(os.Stderr, "round %d of %d\n", round+1, rounds)
+	}
+	fmt.Printf("%d rounds of %d requests over 32 connections, in turn; medians (least to most)\n", rounds, n)
+	for _, k := range kinds {
+		l := got[k.name]
+		of := func(f func(figure) float64) (float64, float64, float64) {
+			v := make([]float64, len(l))
+			for i := range l {
+				v[i] = f(l[i])
+			}
+			slices.Sort(v)
+			return v[len(v)/2], v[0], v[len(v)-1]
+		}
+		r, r0, r1 := of(func(f figure) float64 { return f.rate })
+		c, c0, c1 := of(func(f figure) float64 { return f.cpu })
+		var no int64
+		for _, f := range l {
+			no += f.refused
+		}
+		fmt.Printf("%-11s %7.0f requests/s (%.0f to %.0f)  %6.1f us CPU a request (%.1f to %.1f)  %d refused and asked again\n", k.name, r, r0, r1, c, c0, c1, no)
+	}
+	return nil
+}
+
+func await(what string, ok func() bool) error {
+	for end := time.Now().Add(30 * time.Second); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			return fmt.Errorf("never came: %s", what)
+		}
+	}
+	return nil
+}
+
+func push(n int) error {
+	machine()
+	plane, err := controlplane.Start("")
+	if err != nil {
+		return err
+	}
+	defer plane.GoAway()
+	var all []*origin.Origin
+	for range 3 {
+		o, err := origin.Start("", nil)
+		if err != nil {
+			return err
+		}
+		defer o.Kill()
+		o.Delay(time.Millisecond)
+		all = append(all, o)
+	}
+	list := func(without int) controlplane.Resource {
+		var l []controlplane.Endpoint
+		for i, o := range all {
+			if i != without {
+				l = append(l, controlplane.Endpoint{Addr: o.Addr, Zone: "a"})
+			}
+		}
+		return controlplane.Resource{Name: "c", Body: controlplane.Assignment("c", l...)}
+	}
+	if _, err := plane.Push("0", false, controlplane.Resource{Name: "c", Body: controlplane.Cluster("c", "")}, list(-1)); err != nil {
+		return err
+	}
+	for _, variant := range []string{"sotw", "delta"} {
+		if err := pushes(plane, all, list, variant, n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func pushes(plane *controlplane.Server, all []*origin.Origin, list func(int) controlplane.Resource, variant string, n int) error {
+	conf := fmt.Sprintf("zone: a\nlisteners: [{name: web, address: '127.0.0.1:0'}]\nadmin: {address: '127.0.0.1:0'}\nxds: {servers: [%q], variant: %s, node: {id: m}}\nclusters: [{name: c, xds: {}, warm_up: {time: 1ms}}]\nroutes: [{match: {prefix: /}, cluster: c}]\n",
+		plane.Addr, variant)
+	p, err := start("robindrum", conf)
+	if err != nil {
+		return err
+	}
+	defer p.stop()
+	if err := await("the gateway", func() bool {
+		resp, err := http.Get("http://" + p.addr[1] + "/health/ready")
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	}); err != nil {
+		return err
+	}
+	end := make(chan struct{})
+	var load sync.WaitGroup
+	tr := &http.Transport{MaxIdleConnsPerHost: 16}
+	client := &http.Client{Transport: tr, Timeout: 10 * time.Second}
+	var served, other atomic.Int64
+	for range 12 {
+		load.Go(func() {
+			for {
+				select {
+				case <-end:
+					return
+				default:
+				}
+				resp, err := client.Get("http://" + p.addr[0] + "/x")
+				if err != nil {
+					other.Add(1)
+					continue
+				}
+				_, _ = io.Copy(io.Discard, resp.Body)
+				resp.Body.Close()
+				if resp.StatusCode == http.StatusOK {
+					served.Add(1)
+				} else {
+					other.Add(1)
+				}
+			}
+		})
+	}
+	var took []time.Duration
+	for i := range n {
+		gone := i % 3
+		at, err := plane.Push(fmt.Sprintf("%s-%d", variant, i), false, list(gone))
+		if err != nil {
+			return err
+		}
+		time.Sleep(15 * time.Millisecond)
+		took = append(took, max(all[gone].Last().Sub(at), 0))
+		// What came even later shows in the next round: the endpoint is away for the whole of it.
+		if late := all[gone].After(at.Add(15 * time.Millisecond)); late > 0 {
+			took[i] = all[gone].Last().Sub(at)
+		}
+	}
+	close(end)
+	load.Wait()
+	tr.CloseIdleConnections()
+	slices.Sort(took)
+	at := func(q float64) time.Duration { return took[min(int(q*float64(n)), n-1)].Round(time.Microsecond) }
+	fmt.Printf("%s: %d removals under load: last request to the removed endpoint after p50 %v, p99 %v, max %v; %d served, %d otherwise\n",
+		variant, n, at(0.5), at(0.99), took[n-1].Round(time.Microsecond), served.Load(), other.Load())
+	return nil
+}
+
+func size() error {
+	machine()
+	fmt.Println("clusters  endpoints  resident MiB  CPU to take all  CPU a changed cluster  CPU a second idle")
+	for _, c := range []struct{ clusters, each int }{{10, 10}, {100, 10}, {1000, 10}, {1, 10000}} {
+		if err := sized(c.clusters, c.each); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func sized(clusters, each int) error {
+	plane, err := controlplane.Start("")
+	if err != nil {
+		return err
+	}
+	defer plane.GoAway()
+	conf := fmt.Sprintf("listeners: [{name: web, address: '127.0.0.1:0'}]\nadmin: {address: '127.0.0.1:0'}\nxds: {servers: [%q], variant: delta, node: {id: m}, clusters: true, message: 64MiB}\nclusters: []\nroutes: [{match: {prefix: /}, cluster: c0}]\n", plane.Addr)
+	p, err := start("robindrum", conf)
+	if err != nil {
+		return err
+	}
+	defer p.stop()
+	list := func(i, weight int) controlplane.Resource {
+		l := make([]controlplane.Endpoint, each)
+		for j := range l {
+			l[j] = controlplane.Endpoint{Addr: fmt.Sprintf("127.%d.%d.%d:80", 1+i/250, i%250, 1+j%250), Zone: fmt.Sprint("z", j%3), Weight: uint32(weight)}
+			if each > 250 {
+				l[j].Addr = fmt.Sprintf("127.1.%d.%d:80", j/250, 1+j%250)
+			}
+		}
+		l[0].Weight = uint32(weight) + 1
+		return controlplane.Resource{Name: fmt.Sprint("c", i), Body: controlplane.Assignment(fmt.Sprint("c", i), l...)}
+	}
+	var set []controlplane.Resource
+	for i := range clusters {
+		set = append(set, controlplane.Resource{Name: fmt.Sprint("c", i), Body: controlplane.Cluster(fmt.Sprint("c", i), "")}, list(i, 1))
+	}
+	if _, err := plane.Push("1", false, set...); err != nil {
+		return err
+	}
+	acks := func(n int) error { // all responses so far are answered: what they held is in use
+		ctx, cancel := context.WithTimeout(context.Background(), 60*time.Second)
+		defer cancel()
+		_, _, err := plane.Await(ctx, n, func(r controlplane.Request) bool {
+			return strings.HasSuffix(r.Type(), "ClusterLoadAssignment") && r.Nonce() != ""
+		})
+		return err
+	}
+	if err := acks(0); err != nil {
+		return err
+	}
+	if err := await("all endpoints", func() bool {
+		resp, err := http.Get("http://" + p.addr[1] + "/status?endpoints=1")
+		if err != nil {
+			return false
+		}
+		defer resp.Body.Close()
+		b, _ := io.ReadAll(resp.Body)
+		return strings.Count(string(b), `"usable_endpoints": `+strconv.Itoa(each)) == clusters
+	}); err != nil {
+		return err
+	}
+	took, resident := p.usage()
+	const changes = 100
+	for i := range changes {
+		n := len(plane.Requests())
+		if _, err := plane.Push(fmt.Sprint("v", i), false, list(i%clusters, 2+i)); err != nil {
+			return err
+		}
+		if err := acks(n); err != nil {
+			return err
+		}
+	}
+	after, _ := p.usage()
+	time.Sleep(3 * time.Second)
+	idle, _ := p.usage()
+	fmt.Printf("%8d  %9d  %12.1f  %15v  %21v  %17v\n", clusters, clusters*each, float64(resident)/(1<<20), took,
+		((after - took) / changes).Round(10*time.Microsecond), ((idle - after) / 3).Round(time.Millisecond))
+	return nil
+}
