backend: the head of an answer whose body broke off is not an answer

The split of front and core kept a failed attempt's status for the client, and set it with the head: a 200 whose body broke off could reach the client as a whole 200 with no body. The status is set once the body is whole, and only a backend's own word of an error is passed on. A test breaks answers off in five ways, for a safe and an unsafe class.

--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -50,7 +50,7 @@
 // Reply is how an attempt ended.
 type Reply struct {
 	Result   logic.Result
-	Status   int // 0: there is no answer to pass on
+	Status   int // 0: there is no whole answer to pass on
 	Header   http.Header
 	Body     []byte
 	Streamed bool
@@ -291,10 +291,11 @@
 	if !delimited(resp) && a.req.Method != http.MethodHead || resp.ContentLength > longest {
 		return Reply{Result: logic.ConnLost, Load: reply.Load}, false
 	}
-	reply.Status, reply.Header = resp.StatusCode, resp.Header
 	if !a.body(c, resp, begin, &reply) {
 		return reply, false
 	}
+	// Danger: set any sooner, the head of an answer whose body broke off would pass for an answer.
+	reply.Status, reply.Header = resp.StatusCode, resp.Header
 	return reply, join() == nil && !resp.Close && c.br.Buffered() == 0
 }
 
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -357,7 +357,7 @@
 			if n.settle(r, own) {
 				n.served(now, r)
 			}
-		case reply.Status != 0:
+		case reply.Result == logic.Errored && reply.Status != 0:
 			r.failed = &own
 		}
 		n.stats.Attempts[reply.Result]++
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -670,3 +670,29 @@
 		t.Errorf("%d copies", n)
 	}
 }
+
+// An answer whose body breaks off is none, whatever its head said.
+func TestBrokenAnswerIsNotServed(t *testing.T) {
+	fakes.Leaks(t)
+	for name, text := range map[string]string{
+		"short":        "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf",
+		"no body":      "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n",
+		"broken chunk": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab",
+		"spoilt chunk": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nab\r\n0\r\n\r\n",
+		"without end":  "HTTP/1.1 200 OK\r\n\r\nhalf",
+	} {
+		b := fakes.NewPeer(t, func(c net.Conn, n int) {
+			if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				io.WriteString(c, text)
+			}
+		})
+		w := start(t, nil, b.Addr)
+		for _, class := range []string{"get", "post"} {
+			c := w.dial(t)
+			c.send(head("GET", class))
+			if code, body, _ := c.answer(t); code != 502 && code != 503 || body != "" {
+				t.Errorf("%s, %s: %d %q", name, class, code, body)
+			}
+		}
+	}
+}
