xds: take the routes that a Listener names, and write down which fields count

Control planes hand out routes through listeners; naming a RouteConfiguration in the file was the only way. xds.listener asks for one: of its one filter chain the HTTP connection manager's routes are taken, inline or by RDS; TLS, other filters and HTTP/2 are refused by name. While a newly named RouteConfiguration has not come, the routes before go on.

docs/operate/xds-fields.md is made from the tables in the code, and a test compares them. Tests move a gateway from one RouteConfiguration to another through its listener, and withdraw it, in both variants.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -147,6 +147,8 @@
 	Clusters  bool     `yaml:"clusters"`                      // take all clusters that it names (CDS)
 	RouteName string   `yaml:"route_configuration,omitempty"` // take the routes of this RouteConfiguration behind the file's own
 
+	Listener string `yaml:"listener,omitempty"` // take the routes that this Listener names
+
 	InitialFetchTimeout Duration `yaml:"initial_fetch_timeout"`
 	ConnectTimeout      Duration `yaml:"connect_timeout"`
 	BackoffBase         Duration `yaml:"backoff_base"`
@@ -434,6 +436,9 @@
 	for i, s := range x.Servers {
 		address(d, fmt.Sprintf("xds.servers[%d]", i), s, false)
 	}
+	if x.RouteName != "" && x.Listener != "" {
+		d.at("xds.listener", "only one of route_configuration and listener can be set")
+	}
 	if x.Node.ID == "" && x.Path == "" {
 		d.at("xds.node.id", "is missing: control planes tell gateways apart by it")
 	}
@@ -487,7 +492,7 @@
 }
 
 func (f *File) checkRoutes(d *decoder, classes, clusters map[string]bool) {
-	if len(f.Routes) == 0 && (f.XDS == nil || f.XDS.RouteName == "") {
+	if len(f.Routes) == 0 && (f.XDS == nil || f.XDS.RouteName == "" && f.XDS.Listener == "") {
 		d.at("routes", "none is given")
 	}
 	for i, r := range f.Routes {
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"log/slog"
@@ -120,7 +121,27 @@
 	return r, ok
 }
 
-func (f *feed) value(t xds.Type, name string) any { return f.told[t][name].Value }
+// routes gives the routes that a source tells, and what it says of them where there are none.
+func (f *feed) routes(x *config.XDS) (*xds.Routes, string) {
+	name := x.RouteName
+	if x.Listener != "" {
+		r, _ := f.get(xds.ListenerType, x.Listener)
+		l, ok := r.Value.(*xds.Listener)
+		switch {
+		case !ok:
+			return nil, cmp.Or(r.Rejected, r.Why)
+		case l.Inline != nil:
+			return l.Inline, r.Rejected
+		}
+		name = l.RouteName
+	}
+	if name == "" {
+		return nil, ""
+	}
+	r, _ := f.get(xds.RouteType, name)
+	routes, _ := r.Value.(*xds.Routes)
+	return routes, cmp.Or(r.Rejected, r.Why)
+}
 
 func (f *feed) all(t xds.Type) []xds.Resource {
 	l := make([]xds.Resource, 0, len(f.told[t]))
@@ -187,7 +208,7 @@
 		if name == xdsFeed {
 			x := f.XDS
 			key = fmt.Sprintf("%+v %s", *x, f.Zone)
-			opt.Clusters, opt.Routes, opt.Delta = x.Clusters, x.RouteName, x.Variant == config.Delta
+			opt.Clusters, opt.Routes, opt.Listener, opt.Delta = x.Clusters, x.RouteName, x.Listener, x.Variant == config.Delta
 			opt.FetchTimeout = x.InitialFetchTimeout.D()
 			if x.Path != "" {
 				path, isFile = f.Resolve(x.Path), true
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -315,11 +315,12 @@
 			r.keyed[c.Name] = true
 		}
 	}
-	if x := g.file.XDS; x != nil && x.RouteName != "" {
-		if f := g.feeds[xdsFeed]; f != nil {
-			if routes, ok := f.value(xds.RouteType, x.RouteName).(*xds.Routes); ok {
-				r.xds = routes.Table
-			}
+	if f := g.feeds[xdsFeed]; f != nil {
+		switch routes, why := f.routes(g.file.XDS); {
+		case routes != nil:
+			r.xds = routes.Table
+		case why == "": // no word of the ones that are named now: those before go on
+			r.xds = g.routes.Load().xds
 		}
 	}
 	g.propose(r)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -545,6 +545,34 @@
 	fakes.Eventually(t, "service", func() bool { return u.get(t, "/c").status == 200 })
 }
 
+// A listener names the routes, then other ones, and is withdrawn: requests follow.
+func TestListenerNamesTheRoutes(t *testing.T) {
+	for _, variant := range []string{"sotw", "delta"} {
+		t.Run(variant, func(t *testing.T) {
+			fakes.Leaks(t)
+			s := plane(t)
+			a, b := server(t), server(t)
+			lds := func(routes string) controlplane.Resource {
+				return controlplane.Resource{Name: "l", Body: controlplane.Listener("l", routes)}
+			}
+			push(t, s, "1", false, cds("ca"), cds("cb"), eds("ca", a), eds("cb", b), rds("ra", [2]string{"/", "ca"}), rds("rb", [2]string{"/", "cb"}), lds("ra"))
+			g := begin(t, fmt.Sprintf("clusters: []\nroutes: []\nxds: {servers: [%q], node: {id: gw}, clusters: true, listener: l, variant: %s}\n", s.Addr, variant))
+			fakes.Eventually(t, "the gateway to be ready", g.Ready)
+			u := visit(t, g)
+			if r := u.get(t, "/x"); r.header.Get("X-Origin") != a.Addr {
+				t.Errorf("%+v", r)
+			}
+			push(t, s, "2", false, lds("rb"))
+			fakes.Eventually(t, "the other routes", func() bool { return u.get(t, "/x").header.Get("X-Origin") == b.Addr })
+			push(t, s, "3", false, controlplane.Resource{Name: "l"})
+			fakes.Eventually(t, "no routes", func() bool { return u.get(t, "/x").status == 404 })
+			if why := g.Status(0).Routes.Refused; why != "the control plane withdrew it" {
+				t.Errorf("%q", why)
+			}
+		})
+	}
+}
+
 // drop_overloads refuses its part, endpoint_stale_after ends a list that nobody renews.
 func TestDropAndStale(t *testing.T) {
 	fakes.Leaks(t)
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -8,7 +8,6 @@
 
 	"arrowhitch/internal/membership"
 	"arrowhitch/internal/node"
-	"arrowhitch/internal/xds"
 	"arrowhitch/logic"
 )
 
@@ -167,9 +166,8 @@
 	if r.xds != nil {
 		s.Routes.XDS = r.xds.Len()
 	}
-	if x := g.file.XDS; x != nil && x.RouteName != "" && g.feeds[xdsFeed] != nil {
-		res, _ := g.feeds[xdsFeed].get(xds.RouteType, x.RouteName)
-		s.Routes.Refused = cmp.Or(res.Rejected, res.Why)
+	if f := g.feeds[xdsFeed]; f != nil {
+		_, s.Routes.Refused = f.routes(g.file.XDS)
 	}
 	for _, n := range slices.Sorted(maps.Keys(names(r))) {
 		if g.clusters[n] == nil {
--- a/internal/standin/controlplane/resources.go
+++ b/internal/standin/controlplane/resources.go
@@ -8,7 +8,10 @@
 	clusterv3 "github.com/envoyproxy/go-control-plane/envoy/config/cluster/v3"
 	corev3 "github.com/envoyproxy/go-control-plane/envoy/config/core/v3"
 	endpointv3 "github.com/envoyproxy/go-control-plane/envoy/config/endpoint/v3"
+	listenerv3 "github.com/envoyproxy/go-control-plane/envoy/config/listener/v3"
 	routev3 "github.com/envoyproxy/go-control-plane/envoy/config/route/v3"
+	hcmv3 "github.com/envoyproxy/go-control-plane/envoy/extensions/filters/network/http_connection_manager/v3"
+	"google.golang.org/protobuf/types/known/anypb"
 	"google.golang.org/protobuf/types/known/durationpb"
 	"google.golang.org/protobuf/types/known/structpb"
 	"google.golang.org/protobuf/types/known/wrapperspb"
@@ -76,3 +79,15 @@
 	}
 	return &routev3.RouteConfiguration{Name: name, VirtualHosts: []*routev3.VirtualHost{h}}
 }
+
+// Listener is one whose routes stand in a RouteConfiguration.
+func Listener(name, routes string) *listenerv3.Listener {
+	conf, err := anypb.New(&hcmv3.HttpConnectionManager{StatPrefix: name, RouteSpecifier: &hcmv3.HttpConnectionManager_Rds{Rds: &hcmv3.Rds{
+		RouteConfigName: routes, ConfigSource: &corev3.ConfigSource{ResourceApiVersion: corev3.ApiVersion_V3,
+			ConfigSourceSpecifier: &corev3.ConfigSource_Ads{Ads: &corev3.AggregatedConfigSource{}}}}}})
+	if err != nil { // a message made here always marshals
+		panic(err)
+	}
+	return &listenerv3.Listener{Name: name, FilterChains: []*listenerv3.FilterChain{{Filters: []*listenerv3.Filter{{Name: "http",
+		ConfigType: &listenerv3.Filter_TypedConfig{TypedConfig: conf}}}}}}
+}
--- /dev/null
+++ b/internal/xds/fields_test.go
@@ -0,0 +1,53 @@
+package xds
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+)
+
+var writePage = flag.Bool("write-page", false, "write docs/operate/xds-fields.md anew")
+
+// The page of fields says what the tables say.
+func TestFieldsPage(t *testing.T) {
+	const path = "../../docs/operate/xds-fields.md"
+	var b strings.Builder
+	b.WriteString("# Which xDS fields count\n\nMade from the tables in `internal/xds` by `go test ./internal/xds -run TestFieldsPage -write-page`. A field that is set and stands\n" +
+		"in neither column has its resource refused, by the field's name. What is ignored shows as a warning in `/status`.\n\n" +
+		"| message | honoured | ignored with a warning |\n| --- | --- | --- |\n")
+	for _, m := range []struct {
+		name string
+		table
+	}{
+		{"Cluster", clusterTable}, {"Cluster.EdsClusterConfig", edsConfigTable}, {"CircuitBreakers", breakersTable},
+		{"CircuitBreakers.Thresholds", thresholdsTable}, {"HttpProtocolOptions (common)", httpTable}, {"Cluster.CommonLbConfig", lbConfigTable},
+		{"Cluster.LeastRequestLbConfig", leastTable}, {"Cluster.RoundRobinLbConfig", roundTable}, {"Cluster.SlowStartConfig", slowStartTable},
+		{"ClusterLoadAssignment", assignmentTable}, {"ClusterLoadAssignment.Policy", policyTable}, {"LocalityLbEndpoints", localityTable},
+		{"LbEndpoint", lbTable}, {"Endpoint", endpointTable}, {"SocketAddress", addressTable}, {"RouteConfiguration", routesTable},
+		{"VirtualHost", hostTable}, {"Route", routeTable}, {"RouteMatch", matchTable}, {"RouteAction", actionTable},
+		{"WeightedCluster", weightedTable}, {"WeightedCluster.ClusterWeight", weightTable}, {"HeaderMatcher", headerTable},
+		{"QueryParameterMatcher", queryTable}, {"StringMatcher", stringTable}, {"Listener", listenerTable}, {"FilterChain", chainTable},
+		{"HttpConnectionManager", hcmTable}, {"Rds", rdsTable}, {"HttpFilter", httpFilterTable},
+	} {
+		list := func(l []string) string { return strings.Join(slices.Sorted(slices.Values(l)), ", ") }
+		fmt.Fprintf(&b, "| %s | %s | %s |\n", m.name, list(m.honoured), list(m.ignored))
+	}
+	b.WriteString("\nMetadata under `filter_metadata.robindrum`: an endpoint's `kind` and `cell`, a route's `class`, `key_header` and `key_query`.\n" +
+		"Types of cluster: EDS (over the same stream) and STATIC. Policies ROUND_ROBIN, LEAST_REQUEST and RANDOM are taken for the fewer\n" +
+		"requests of two; RING_HASH, MAGLEV and others are refused. Of HTTP filters only the router counts; optional ones are passed over.\n")
+	if *writePage {
+		if err := os.WriteFile(path, []byte(b.String()), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	got, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if string(got) != b.String() {
+		t.Errorf("%s says something else; write it anew with -write-page", path)
+	}
+}
--- a/internal/xds/file.go
+++ b/internal/xds/file.go
@@ -15,6 +15,7 @@
 
 	clusterv3 "github.com/envoyproxy/go-control-plane/envoy/config/cluster/v3"
 	endpointv3 "github.com/envoyproxy/go-control-plane/envoy/config/endpoint/v3"
+	listenerv3 "github.com/envoyproxy/go-control-plane/envoy/config/listener/v3"
 	routev3 "github.com/envoyproxy/go-control-plane/envoy/config/route/v3"
 	discoveryv3 "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
 	"github.com/fsnotify/fsnotify"
@@ -95,7 +96,7 @@
 	now := f.now()
 	_, changes := f.machine.Begin(now)
 	all = append(all, changes...)
-	for _, t := range []Type{ClusterType, EndpointType, RouteType} {
+	for _, t := range []Type{ClusterType, EndpointType, ListenerType, RouteType} {
 		if f.machine.kind(t) == nil {
 			continue
 		}
@@ -258,6 +259,9 @@
 	case EndpointType:
 		var m endpointv3.ClusterLoadAssignment
 		return unmarshal(&m, m.GetClusterName)
+	case ListenerType:
+		var m listenerv3.Listener
+		return unmarshal(&m, m.GetName)
 	case RouteType:
 		var m routev3.RouteConfiguration
 		return unmarshal(&m, m.GetName)
--- a/internal/xds/machine.go
+++ b/internal/xds/machine.go
@@ -12,6 +12,7 @@
 	clusterv3 "github.com/envoyproxy/go-control-plane/envoy/config/cluster/v3"
 	corev3 "github.com/envoyproxy/go-control-plane/envoy/config/core/v3"
 	endpointv3 "github.com/envoyproxy/go-control-plane/envoy/config/endpoint/v3"
+	listenerv3 "github.com/envoyproxy/go-control-plane/envoy/config/listener/v3"
 	routev3 "github.com/envoyproxy/go-control-plane/envoy/config/route/v3"
 	discoveryv3 "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
 	statuspb "google.golang.org/genproto/googleapis/rpc/status"
@@ -36,7 +37,7 @@
 	Name     string
 	State    State
 	Version  string // of what is in use
-	Value    any    // *Cluster, *Assignment or *Routes while State is Received
+	Value    any    // *Cluster, *Assignment, *Listener or *Routes while State is Received
 	Warnings []string
 	Updated  time.Duration // when Value was last told, on the caller's clock
 	Rejected string        // why the newest version is not in use, empty if it is
@@ -59,6 +60,7 @@
 	Clusters     bool            // ask for all clusters
 	Names        []string        // ClusterLoadAssignments to ask for beside those that clusters name
 	Routes       string          // the RouteConfiguration to ask for; empty: none
+	Listener     string          // the Listener to ask for, and the RouteConfiguration that it names; empty: none
 	Classes      map[string]bool // that routes may name
 	FetchTimeout time.Duration   // a resource that nothing is said of for so long does not exist; 0: wait
 }
@@ -100,7 +102,10 @@
 		m.kinds = append(m.kinds, &kind{typ: ClusterType, wildcard: true, all: map[string]*Resource{}})
 	}
 	m.kinds = append(m.kinds, &kind{typ: EndpointType, all: map[string]*Resource{}})
-	if opt.Routes != "" {
+	if opt.Listener != "" {
+		m.kinds = append(m.kinds, &kind{typ: ListenerType, all: map[string]*Resource{}})
+	}
+	if opt.Routes != "" || opt.Listener != "" {
 		m.kinds = append(m.kinds, &kind{typ: RouteType, all: map[string]*Resource{}})
 	}
 	return m
@@ -190,9 +195,17 @@
 			}
 		}
 	}
-	sets := map[Type]map[string]bool{EndpointType: eds}
+	sets := map[Type]map[string]bool{EndpointType: eds, ListenerType: {}, RouteType: {}}
 	if m.opt.Routes != "" {
-		sets[RouteType] = map[string]bool{m.opt.Routes: true}
+		sets[RouteType][m.opt.Routes] = true
+	}
+	if m.opt.Listener != "" {
+		sets[ListenerType][m.opt.Listener] = true
+		if r := m.kind(ListenerType).all[m.opt.Listener]; r != nil {
+			if l, ok := r.Value.(*Listener); ok && l.RouteName != "" {
+				sets[RouteType][l.RouteName] = true
+			}
+		}
 	}
 	for _, k := range m.kinds {
 		if k.wildcard {
@@ -272,11 +285,11 @@
 		}
 		t.resource(in, i)
 	}
-	// Only clusters are told whole: of the others what is left out stays. Where one came that cannot be told by name,
+	// Only clusters and listeners are told whole: of the others what is left out stays. Where one came that cannot be told by name,
 	// what is left out may be that one.
-	if k.wildcard && !t.unnamed {
+	if (k.wildcard || k.typ == ListenerType) && !t.unnamed {
 		for name, old := range k.all {
-			if !t.named[name] {
+			if !t.named[name] && old.State != Absent {
 				t.remove(old, "the control plane withdrew it")
 			}
 		}
@@ -531,6 +544,12 @@
 			name = c.GetClusterName()
 			value, warn, err = ParseAssignment(&c)
 		}
+	case ListenerType:
+		var c listenerv3.Listener
+		if err = proto.Unmarshal(body.GetValue(), &c); err == nil {
+			name = c.GetName()
+			value, warn, err = ParseListener(&c, m.opt.Classes)
+		}
 	case RouteType:
 		var c routev3.RouteConfiguration
 		if err = proto.Unmarshal(body.GetValue(), &c); err == nil {
--- a/internal/xds/resource.go
+++ b/internal/xds/resource.go
@@ -34,6 +34,7 @@
 const (
 	ClusterType  Type = "type.googleapis.com/envoy.config.cluster.v3.Cluster"
 	EndpointType Type = "type.googleapis.com/envoy.config.endpoint.v3.ClusterLoadAssignment"
+	ListenerType Type = "type.googleapis.com/envoy.config.listener.v3.Listener"
 	RouteType    Type = "type.googleapis.com/envoy.config.route.v3.RouteConfiguration"
 )
 
@@ -44,6 +45,8 @@
 		return "cluster"
 	case EndpointType:
 		return "endpoints"
+	case ListenerType:
+		return "listener"
 	case RouteType:
 		return "routes"
 	}
--- a/internal/xds/resource_test.go
+++ b/internal/xds/resource_test.go
@@ -8,6 +8,7 @@
 
 	clusterv3 "github.com/envoyproxy/go-control-plane/envoy/config/cluster/v3"
 	endpointv3 "github.com/envoyproxy/go-control-plane/envoy/config/endpoint/v3"
+	listenerv3 "github.com/envoyproxy/go-control-plane/envoy/config/listener/v3"
 	routev3 "github.com/envoyproxy/go-control-plane/envoy/config/route/v3"
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
@@ -185,6 +186,40 @@
 	}
 }
 
+func TestListeners(t *testing.T) {
+	hcm := func(rest string) string {
+		return `{"name":"l","filter_chains":[{"filters":[{"name":"h","typed_config":{"@type":"` + hcmURL + `",` + rest + `}}]}]}`
+	}
+	const rds = `"rds":{"route_config_name":"r","config_source":{"ads":{}}}`
+	for name, c := range map[string]struct{ text, err string }{
+		"rds":          {hcm(rds + `,"http_filters":[{"name":"router","typed_config":{"@type":"` + routerURL + `"}}]`), ""},
+		"api":          {`{"name":"l","api_listener":{"api_listener":{"@type":"` + hcmURL + `",` + rds + `}}}`, ""},
+		"inline":       {hcm(`"route_config":{"virtual_hosts":[{"domains":["*"],"routes":[{"match":{"prefix":"/"},"route":{"cluster":"x"}}]}]}`), ""},
+		"inline bad":   {hcm(`"route_config":{"virtual_hosts":[{"domains":["*"],"routes":[{"match":{"prefix":"/"},"redirect":{}}]}]}`), "route_config.virtual_hosts[0].routes[0].redirect: not supported"},
+		"nameless":     {`{}`, "name: is missing"},
+		"no chain":     {`{"name":"l"}`, "filter_chains: want one, not 0"},
+		"two filters":  {`{"name":"l","filter_chains":[{"filters":[{},{}]}]}`, "filters: want one, not 2"},
+		"chain match":  {`{"name":"l","filter_chains":[{"filter_chain_match":{"server_names":["a"]}}]}`, "filter_chain_match: not supported"},
+		"tls":          {`{"name":"l","filter_chains":[{"transport_socket":{"name":"tls"}}]}`, "transport_socket: not supported"},
+		"other filter": {`{"name":"l","filter_chains":[{"filters":[{"name":"x"}]}]}`, "is not supported"},
+		"http2":        {hcm(rds + `,"codec_type":"HTTP2"`), "codec_type: HTTP2 is not supported"},
+		"jwt":          {hcm(rds + `,"http_filters":[{"name":"jwt"}]`), `http_filters[0].name: "jwt" is not supported`},
+		"optional":     {hcm(rds + `,"http_filters":[{"name":"jwt","is_optional":true}]`), ""},
+		"no routes":    {hcm(`"stat_prefix":"x"`), "route_specifier"},
+		"rds by path":  {hcm(`"rds":{"route_config_name":"r","config_source":{"path":"/x"}}`), "only ads and self"},
+		"rds nameless": {hcm(`"rds":{"config_source":{"ads":{}}}`), "route_config_name: is missing"},
+		"upgrade":      {hcm(rds + `,"upgrade_configs":[{"upgrade_type":"websocket"}]`), "upgrade_configs: not supported"},
+	} {
+		l, _, err := ParseListener(read(t, &listenerv3.Listener{}, c.text), nil)
+		if (err != nil) != (c.err != "") || err != nil && !strings.Contains(err.Error(), c.err) {
+			t.Errorf("%s: %v, want %q", name, err, c.err)
+		}
+		if err == nil && (l.RouteName == "r") == (l.Inline != nil) {
+			t.Errorf("%s: %+v", name, l)
+		}
+	}
+}
+
 // No bytes, taken as any of the messages, upset the parsers; and what is accepted can be used.
 func FuzzResources(f *testing.F) {
 	for _, m := range []proto.Message{
@@ -217,6 +252,10 @@
 				}
 			}
 		}
+		var l listenerv3.Listener
+		if proto.Unmarshal(b, &l) == nil {
+			_, _, _ = ParseListener(&l, nil)
+		}
 		var r routev3.RouteConfiguration
 		if proto.Unmarshal(b, &r) == nil {
 			if got, _, err := ParseRoutes(&r, nil); err == nil {
--- a/internal/xds/routes.go
+++ b/internal/xds/routes.go
@@ -48,8 +48,12 @@
 // first route of a virtual host that matches, package route the most specific one; an order in which the two differ is
 // refused.
 func ParseRoutes(m *routev3.RouteConfiguration, classes map[string]bool) (*Routes, []string, error) {
+	return parseRoutes(m, classes, false)
+}
+
+func parseRoutes(m *routev3.RouteConfiguration, classes map[string]bool, inListener bool) (*Routes, []string, error) {
 	var warn []string
-	if m.GetName() == "" {
+	if m.GetName() == "" && !inListener {
 		return nil, nil, errors.New("name: is missing")
 	}
 	if err := routesTable.audit(m, "", &warn); err != nil {
