gateway: a test of names that are ever new; measure: 200 updates a second for 10 s

Two lines of the issue had no figure or test with a whole gateway: names that are ever new, and memory under a flood of updates. 300 rounds of new cluster names, zones, kinds and endpoints leave two clusters, no old core and no booked part.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -22,6 +22,7 @@
 	"arrowhitch/internal/fakes"
 	"arrowhitch/internal/standin/controlplane"
 	"arrowhitch/internal/standin/origin"
+	"arrowhitch/internal/xds"
 )
 
 func parse(t testing.TB, text string) *config.File {
@@ -573,6 +574,39 @@
 	}
 }
 
+// Cluster names, zones and endpoints that are ever new leave nothing behind: not in the gateway, its sources or its cores.
+func TestNamesThatAreEverNew(t *testing.T) {
+	for _, variant := range []string{"sotw", "delta"} {
+		t.Run(variant, func(t *testing.T) {
+			fakes.Leaks(t)
+			s := plane(t)
+			a := server(t)
+			push(t, s, "0", false, cds("fixed"), eds("fixed", a), rds("r", [2]string{"/", "fixed"}))
+			g := begin(t, "clusters: []\nroutes: []\n"+ads(s, ", variant: "+variant))
+			fakes.Eventually(t, "the gateway to be ready", g.Ready)
+			const rounds = 300
+			for i := range rounds {
+				name := fmt.Sprint("c", i)
+				zone := controlplane.Endpoint{Addr: a.Addr, Zone: fmt.Sprint("z", i), Kind: fmt.Sprint("k", i)}
+				push(t, s, fmt.Sprint("v", i), true, cds("fixed"), cds(name), eds("fixed", zone), eds(name, zone))
+			}
+			fakes.Eventually(t, "the last names", func() bool { return g.usable(fmt.Sprint("c", rounds-1)) == 1 })
+			fakes.Eventually(t, "the former ones to be gone", func() bool {
+				g.mu.Lock()
+				defer g.mu.Unlock()
+				f := g.feeds[xdsFeed]
+				return len(g.clusters) == 2 && len(g.old) == 0 && len(f.told[xds.ClusterType]) == 2 && len(f.told[xds.EndpointType]) == 2
+			})
+			if n := g.Status(0).Limits.Requests; n != 2*(4096/4/2) {
+				t.Errorf("%d requests are kept for two clusters", n)
+			}
+			if r := visit(t, g).get(t, "/x"); r.status != 200 {
+				t.Errorf("%d", r.status)
+			}
+		})
+	}
+}
+
 // drop_overloads refuses its part, endpoint_stale_after ends a list that nobody renews.
 func TestDropAndStale(t *testing.T) {
 	fakes.Leaks(t)
--- a/tools/measure/main.go
+++ b/tools/measure/main.go
@@ -2,6 +2,7 @@
 //
 //	go run ./tools/measure proxy   requests a second and CPU a request: robindrum, arrowhitch, httputil.ReverseProxy
 //	go run ./tools/measure push    time from a push to the last request that a removed endpoint gets
+//	go run ./tools/measure flood   memory and CPU under 200 updates a second for 10 s
 //	go run ./tools/measure size    memory and CPU by the number of clusters and endpoints
 //
 // What is measured runs in a process of its own; the load and the stand-ins run in this one.
@@ -53,12 +54,14 @@
 		err = proxy(min(*requests, 200000), min(*rounds, 20))
 	case "push":
 		err = push(min(*updates, 5000))
+	case "flood":
+		err = flood()
 	case "size":
 		err = size()
 	case "child": // what is measured
 		err = child(flag.Arg(1), flag.Args()[2:])
 	default:
-		err = errors.New("want proxy, push or size")
+		err = errors.New("want proxy, push, flood or size")
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "measure:", err)
@@ -531,3 +534,77 @@
 		((after - took) / changes).Round(10*time.Microsecond), ((idle - after) / 3).Round(time.Millisecond))
 	return nil
 }
+
+// flood pushes 200 updates a second for 10 s and tells what that costs, and how long the last one took to be in use.
+func flood() error {
+	machine()
+	for _, each := range []int{10, 1000} {
+		if err := flooded(each); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func flooded(each int) error {
+	plane, err := controlplane.Start("")
+	if err != nil {
+		return err
+	}
+	defer plane.GoAway()
+	conf := fmt.Sprintf("listeners: [{name: web, address: '127.0.0.1:0'}]\nadmin: {address: '127.0.0.1:0'}\nxds: {servers: [%q], node: {id: m}}\nclusters: [{name: c, xds: {}}]\nroutes: [{match: {prefix: /}, cluster: c}]\n", plane.Addr)
+	p, err := start("robindrum", conf)
+	if err != nil {
+		return err
+	}
+	defer p.stop()
+	version := func() string {
+		resp, err := http.Get("http://" + p.addr[1] + "/status?endpoints=1")
+		if err != nil {
+			return ""
+		}
+		defer resp.Body.Close()
+		b, _ := io.ReadAll(resp.Body)
+		_, v, _ := strings.Cut(string(b), `"service": "c",`)
+		_, v, _ = strings.Cut(v, `"version": "`)
+		v, _, _ = strings.Cut(v, `"`)
+		return v
+	}
+	list := func(i int) controlplane.Resource {
+		l := make([]controlplane.Endpoint, each)
+		for j := range l {
+			l[j] = controlplane.Endpoint{Addr: fmt.Sprintf("127.1.%d.%d:80", j/250, 1+j%250), Zone: fmt.Sprint("z", j%3)}
+		}
+		l[i%each].Weight = uint32(i + 2)
+		return controlplane.Resource{Name: "c", Body: controlplane.Assignment("c", l...)}
+	}
+	if _, err := plane.Push("first", false, list(0)); err != nil {
+		return err
+	}
+	if err := await("the first list", func() bool { return version() == "first" }); err != nil {
+		return err
+	}
+	before, resident := p.usage()
+	most := resident
+	const n = 2000
+	began := time.Now()
+	for i := range n {
+		if _, err := plane.Push(strconv.Itoa(i), false, list(i)); err != nil {
+			return err
+		}
+		if i%50 == 0 {
+			_, r := p.usage()
+			most = max(most, r)
+		}
+		time.Sleep(time.Until(began.Add(time.Duration(i+1) * 5 * time.Millisecond)))
+	}
+	took := time.Since(began)
+	if err := await("the last update", func() bool { return version() == strconv.Itoa(n-1) }); err != nil {
+		return err
+	}
+	late := time.Since(began) - took
+	after, _ := p.usage()
+	fmt.Printf("%d endpoints: %d updates in %v, the last in use %v after it was sent; resident %.1f MiB, at most %.1f; %v of CPU an update\n", each, n,
+		took.Round(time.Millisecond), late.Round(time.Millisecond), float64(resident)/(1<<20), float64(most)/(1<<20), ((after - before) / n).Round(time.Microsecond))
+	return nil
+}
