backend: a test of a server that drains while a connection to it comes up

The issue asks that no new request reaches a removed endpoint also while an attempt at it is under way. The dial is held, the server drains or leaves the list, the dial goes on: the attempt ends as not sent and its descriptor comes back.

--- a/internal/backend/budget_test.go
+++ b/internal/backend/budget_test.go
@@ -2,8 +2,14 @@
 
 import (
 	"math/rand/v2"
+	"net/http"
 	"sync"
+	"syscall"
 	"testing"
+	"time"
+
+	"arrowhitch/internal/fakes"
+	"arrowhitch/logic"
 )
 
 // One that takes all it can get leaves the other what is its own, and everything comes back.
@@ -137,3 +143,37 @@
 		t.Errorf("%d booked in the end", b.Used())
 	}
 }
+
+// A backend drains or leaves the list while a connection to it comes up: the attempt is not sent, and the descriptor
+// comes back.
+func TestLateConnectionIsNotUsed(t *testing.T) {
+	fakes.Leaks(t)
+	for name, out := range map[string]func(*Upstream){
+		"drains": func(u *Upstream) { u.SetDraining(true) },
+		"leaves": (*Upstream).Retire,
+	} {
+		b := fakes.NewBackend(t, func(fakes.Seen, int) string { return "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" })
+		budget := NewBudget(8)
+		p := NewPool(Options{ConnectTimeout: fakes.Patience}, budget)
+		dialing, goOn := make(chan struct{}), make(chan struct{})
+		p.dialer.Control = func(string, string, syscall.RawConn) error {
+			close(dialing)
+			<-goOn
+			return nil
+		}
+		u := p.Upstream(b.Addr, 0)
+		got := make(chan Reply, 1)
+		r := &Request{Method: http.MethodGet, URI: "/", Host: "x", Header: http.Header{}}
+		go func() { got <- NewAttempt(u, r, time.Now().Add(fakes.Patience)).Do(refuseStream) }()
+		fakes.Within(t, "the dial", dialing)
+		out(u)
+		close(goOn)
+		if res := fakes.Within(t, "the end", got).Result; res != logic.NotSent {
+			t.Errorf("%s: result %d", name, res)
+		}
+		if n := len(b.Seen()); n != 0 || budget.Used() != 0 {
+			t.Errorf("%s: %d requests sent, %d descriptors held", name, n, budget.Used())
+		}
+		p.Close()
+	}
+}
