--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -46,22 +46,19 @@
 	Mode    Mode
 	Classes []Class
 
-	Gateways    int           // before the same endpoints, this one counted; 1
-	PerEndpoint int           // requests in flight for each endpoint that the limit begins with; 256
-	Limit       int           // of a Fixed mode, for the cluster; 1024
-	MaxRequests int           // what the limit never rises above; 0: no bound
-	MaxPending  int           // requests that wait; 1024
-	MaxWait     time.Duration // of a request; 0: what its class's wanted time leaves
-	Floor       float64       // the part of starts that a class has for sure while requests of it wait; 0.05
+	Gateways    int // before the same endpoints, this one counted; 1
+	PerEndpoint int // requests in flight for each endpoint that the limit begins with; 256
+	Limit       int // of a Fixed mode, for the cluster; 1024
+	// Breakers are of the priority DEFAULT, High of HIGH: each counts its own requests.
+	Breakers
+	High         Breakers
+	PendingBytes int64         // of the requests that wait, both priorities together; 0: no bound
+	MaxWait      time.Duration // of a request; 0: what its class's wanted time leaves
+	Floor        float64       // the part of starts that a class has for sure while requests of it wait; 0.05
 
 	RetryRatio float64       // retries earned by a request; 0.2
 	RetryRate  float64       // and earned a second in any case; 10
 	RetryTTL   time.Duration // over which what is earned is kept; 10 s
-	MaxRetries int           // retries in flight; 0: no bound
-	// Where RetryPercent is above 0, retries in flight are bounded by this part of the requests in flight or waiting, but
-	// no lower than RetryLeast, in place of MaxRetries: Envoy's retry_budget.
-	RetryPercent float64
-	RetryLeast   int
 
 	MostAdvice time.Duration // the longest that a client is told to wait; 5 s
 
@@ -69,6 +66,17 @@
 	Notify func(Change)
 }
 
+// Breakers are Envoy's circuit breakers of one routing priority.
+type Breakers struct {
+	MaxRequests int // in flight; 0: no bound
+	MaxPending  int // requests that wait; 1024
+	MaxRetries  int // retries in flight; 0: no bound
+	// Where RetryPercent is above 0, retries in flight are bounded by this part of the requests in flight or waiting, but
+	// no lower than RetryLeast, in place of MaxRetries: Envoy's retry_budget.
+	RetryPercent float64
+	RetryLeast   int
+}
+
 // Change is that a cluster becomes short or well.
 type Change struct {
 	At       time.Duration
@@ -81,7 +89,7 @@
 func (o *Options) Fill() {
 	o.Gateways = cmp.Or(o.Gateways, 1)
 	o.PerEndpoint, o.Limit = cmp.Or(o.PerEndpoint, 256), cmp.Or(o.Limit, 1024)
-	o.MaxPending, o.Floor = cmp.Or(o.MaxPending, 1024), cmp.Or(o.Floor, 0.05)
+	o.MaxPending, o.High.MaxPending, o.Floor = cmp.Or(o.MaxPending, 1024), cmp.Or(o.High.MaxPending, 1024), cmp.Or(o.Floor, 0.05)
 	o.RetryRatio, o.RetryRate, o.RetryTTL = cmp.Or(o.RetryRatio, 0.2), cmp.Or(o.RetryRate, 10), cmp.Or(o.RetryTTL, 10*time.Second)
 	o.MostAdvice = cmp.Or(o.MostAdvice, 5*time.Second)
 	o.Floor, o.RetryRatio, o.RetryRate = max(o.Floor, 0), max(o.RetryRatio, 0), max(o.RetryRate, 0)
@@ -96,8 +104,8 @@
 		return fmt.Errorf("gateways: want 1 at least, not %d", o.Gateways)
 	case o.PerEndpoint < 1 || o.Limit < 1:
 		return fmt.Errorf("limit: want 1 at least, not %d for each endpoint and %d in all", o.PerEndpoint, o.Limit)
-	case o.MaxRequests < 0 || o.MaxPending < 0 || o.MaxRetries < 0:
-		return fmt.Errorf("circuit breakers: want 0 at least, not %d, %d, %d", o.MaxRequests, o.MaxPending, o.MaxRetries)
+	case o.Breakers.negative() || o.High.negative() || o.PendingBytes < 0:
+		return fmt.Errorf("circuit breakers: want 0 at least, not %+v, %+v, %d bytes", o.Breakers, o.High, o.PendingBytes)
 	case !(o.Floor >= 0 && o.Floor <= 0.5):
 		return fmt.Errorf("floor: want 0 to 0.5, not %v", o.Floor)
 	case !(o.RetryRatio >= 0 && o.RetryRatio <= 10) || !(o.RetryRate >= 0) || o.RetryTTL <= 0:
@@ -108,6 +116,8 @@
 	return nil
 }
 
+func (b *Breakers) negative() bool { return b.MaxRequests < 0 || b.MaxPending < 0 || b.MaxRetries < 0 }
+
 // Reason is why a request was refused.
 type Reason uint8
 
@@ -129,12 +139,14 @@
 	rng     *rand.Rand
 	now     time.Duration
 	classes []*class // the highest worth first
-	byName  map[string]*class
+	byName  map[named]*class
 
 	endpoints int
 	limit     limiter
 	retries   budget
 	active    int // requests that started and have no answer yet
+	priority  [2]priority
+	denied    uint64 // retries
 	refused   [reasons]uint64
 	started   uint64
 	queued    uint64 // of them, those that had waited
@@ -150,13 +162,35 @@
 	evidence string
 }
 
+// priority is what counts for one of Envoy's routing priorities: DEFAULT, or behind it HIGH.
+type priority struct {
+	*Breakers
+	active, waiting int
+	retries         int // in flight
+}
+
+func (c *Controller) of(high bool) *priority {
+	if high {
+		return &c.priority[1]
+	}
+	return &c.priority[0]
+}
+
+// named is how a class is found: each priority has classes of its own.
+type named struct {
+	name string
+	high bool
+}
+
 // class is what is known of one.
 type class struct {
 	Class
+	highPriority bool
 	evidence
 	tenants  map[string]*line // those with requests that wait
 	ring     []*line          // the same, in the order of their turns
 	waiting  int
+	bytes    int64
 	since    time.Duration // when requests began to wait without a pause
 	credit   float64       // starts that its floor owes it
 	arrivals rate
@@ -169,19 +203,25 @@
 	if err := o.Check(); err != nil {
 		return nil, err
 	}
-	c := &Controller{opt: o, rng: rand.New(rand.NewPCG(seed, 0x61646d6974)), byName: map[string]*class{}, endpoints: 1,
-		retries: budget{ratio: o.RetryRatio, rate: o.RetryRate, ttl: o.RetryTTL, most: o.MaxRetries}}
+	c := &Controller{opt: o, rng: rand.New(rand.NewPCG(seed, 0x61646d6974)), byName: map[named]*class{}, endpoints: 1,
+		retries: budget{ratio: o.RetryRatio, rate: o.RetryRate, ttl: o.RetryTTL}}
+	c.priority[0].Breakers, c.priority[1].Breakers = &c.opt.Breakers, &c.opt.High
 	for _, k := range o.Classes {
-		c.add(k)
+		c.add(k, false)
 	}
 	c.limit.begin(&c.opt, 1)
 	return c, nil
 }
 
-func (c *Controller) add(k Class) *class {
-	x := &class{Class: k, tenants: map[string]*line{}}
-	c.byName[k.Name] = x
-	i, _ := slices.BinarySearchFunc(c.classes, x, func(a, b *class) int { return cmp.Compare(b.Worth, a.Worth) })
+func (c *Controller) add(k Class, high bool) *class {
+	x := &class{Class: k, highPriority: high, tenants: map[string]*line{}}
+	c.byName[named{k.Name, high}] = x
+	i, _ := slices.BinarySearchFunc(c.classes, x, func(a, b *class) int {
+		if a.Worth == b.Worth && a.highPriority != b.highPriority { // HIGH starts first where both are worth the same
+			return map[bool]int{true: -1, false: 1}[a.highPriority]
+		}
+		return cmp.Compare(b.Worth, a.Worth)
+	})
 	c.classes = slices.Insert(c.classes, i, x)
 	return x
 }
@@ -189,14 +229,21 @@
 // mostClasses bounds what names that are not in the configuration may take. Danger: names that are ever new.
 const mostClasses = 64
 
-func (c *Controller) class(name string) *class {
-	if k := c.byName[name]; k != nil {
+func (c *Controller) class(name string, high bool) *class {
+	if k := c.byName[named{name, high}]; k != nil {
 		return k
 	}
+	if k := c.byName[named{name, !high}]; k != nil {
+		return c.add(k.Class, high)
+	}
 	if len(c.classes) >= mostClasses {
-		return c.classes[len(c.classes)-1]
+		for _, k := range slices.Backward(c.classes) {
+			if k.highPriority == high {
+				return k
+			}
+		}
 	}
-	return c.add(Class{Name: name, Worth: 1, Wanted: time.Second})
+	return c.add(Class{Name: name, Worth: 1, Wanted: time.Second}, high)
 }
 
 func (c *Controller) tick(now time.Duration) time.Duration {
@@ -213,7 +260,7 @@
 	}
 }
 
-// bound is how many requests may be in flight.
+// bound is how many requests may be in flight, both priorities together.
 func (c *Controller) bound() int {
 	n := int(c.limit.now)
 	switch c.opt.Mode {
@@ -222,20 +269,31 @@
 	case Off:
 		n = math.MaxInt
 	}
-	if c.opt.MaxRequests > 0 {
-		n = min(n, c.opt.MaxRequests)
-	}
 	return n
 }
 
+// boundOf is how many of a priority.
+func (c *Controller) boundOf(high bool) int {
+	if most := c.of(high).MaxRequests; most > 0 {
+		return min(c.bound(), most)
+	}
+	return c.bound()
+}
+
+// room tells whether one more request of a priority may start.
+func (c *Controller) room(high bool) bool {
+	p := c.of(high)
+	return c.active < c.bound() && (p.MaxRequests == 0 || p.active < p.MaxRequests)
+}
+
 // Arrive decides about a request.
 func (c *Controller) Arrive(now time.Duration, a logic.Arrival) (logic.Verdict, time.Duration) {
 	now = c.tick(now)
 	c.retries.earn(now)
-	k := c.class(a.Class)
+	k, p := c.class(a.Class, a.High), c.of(a.High)
 	k.arrivals.add(now)
-	if c.active < c.bound() && c.queue.n == 0 {
-		c.start(now)
+	if p.waiting == 0 && c.room(a.High) {
+		c.start(now, a.High)
 		return logic.Start, 0
 	}
 	wait := c.mayWait(k, a.Left)
@@ -245,7 +303,7 @@
 	if c.prospect(now, k, a.Tenant) > wait {
 		return logic.Refuse, c.refuse(now, k, NoProspect)
 	}
-	if c.queue.n >= c.opt.MaxPending && !c.displace(now, k, a.Tenant) {
+	if !c.fits(k, a.Size) || p.waiting >= p.MaxPending && !c.displace(now, k, a.Tenant) {
 		return logic.Refuse, c.refuse(now, k, QueueFull)
 	}
 	if k.waiting == 0 {
@@ -254,13 +312,18 @@
 	if c.queue.n == 0 {
 		c.served = rate{} // what was measured before a pause is too low now
 	}
+	for c.opt.PendingBytes > 0 && c.queue.bytes+a.Size > c.opt.PendingBytes { // fits said that this ends
+		c.drop(now, c.least(k).longest().first, Displaced)
+	}
 	c.queue.add(k, a, now+wait)
+	p.waiting++
 	return logic.Wait, wait
 }
 
-func (c *Controller) start(now time.Duration) {
+func (c *Controller) start(now time.Duration, high bool) {
 	c.started++
 	c.active++
+	c.of(high).active++
 	c.limit.peak = max(c.limit.peak, c.active)
 	c.wentBad.decay(now)
 }
@@ -270,7 +333,7 @@
 func (c *Controller) mayWait(k *class, left time.Duration) time.Duration {
 	wanted := min(k.Wanted, left)
 	takes := k.mean
-	if b := c.bound(); c.could > 0 && b < math.MaxInt { // the mean may be of a time when more was in flight
+	if b := c.boundOf(k.highPriority); c.could > 0 && b < math.MaxInt { // the mean may be of a time when more was in flight
 		takes = min(takes, k.base+float64(b)/c.could*float64(time.Second))
 	}
 	wait := max(wanted*9/10-time.Duration(takes+k.dev), wanted/8)
@@ -327,19 +390,39 @@
 	return max(float64(c.active)/(mean/n)*float64(time.Second), c.could)
 }
 
+// fits tells whether a request's bytes can be kept, if need be in place of those of requests that are worth less.
+func (c *Controller) fits(k *class, size int64) bool {
+	if c.opt.PendingBytes == 0 {
+		return true
+	}
+	kept := c.queue.bytes + size
+	for _, o := range c.classes {
+		if o.Worth < k.Worth && o.highPriority == k.highPriority {
+			kept -= o.bytes
+		}
+	}
+	return kept <= c.opt.PendingBytes
+}
+
+// least is the class of the least worth that has requests waiting, of those that are worth less than k; nil: none.
+func (c *Controller) least(k *class) *class {
+	for _, o := range slices.Backward(c.classes) {
+		if o.Worth >= k.Worth {
+			return nil
+		}
+		if o.waiting > 0 && o.highPriority == k.highPriority {
+			return o
+		}
+	}
+	return nil
+}
+
 // displace makes room for a request where as many wait as may: the oldest of the class of the least worth below its own
 // leaves, or that of a tenant of its own class that has more waiting.
 func (c *Controller) displace(now time.Duration, k *class, tenant string) bool {
-	for i := len(c.classes) - 1; i >= 0; i-- {
-		o := c.classes[i]
-		if o.waiting == 0 {
-			continue
-		}
-		if o.Worth < k.Worth {
-			c.drop(now, o.longest().first, Displaced)
-			return true
-		}
-		break
+	if o := c.least(k); o != nil {
+		c.drop(now, o.longest().first, Displaced)
+		return true
 	}
 	if k.waiting == 0 {
 		return false
@@ -357,7 +440,7 @@
 
 // drop has a request that waits refused by the next call of Next.
 func (c *Controller) drop(now time.Duration, e *entry, why Reason) {
-	c.queue.remove(e)
+	c.remove(e)
 	c.queue.dropped = append(c.queue.dropped, dropped{e.seq, c.refuse(now, e.class, why)})
 	c.queue.free(e)
 }
@@ -376,7 +459,7 @@
 
 func (c *Controller) tell(now time.Duration) {
 	if c.opt.Notify != nil {
-		c.opt.Notify(Change{At: now, Short: c.short, Limit: c.bound(), Evidence: c.evidence})
+		c.opt.Notify(Change{At: now, Short: c.short, Limit: c.boundOf(false), Evidence: c.evidence})
 	}
 }
 
@@ -396,7 +479,7 @@
 // Inherit takes over what another controller of the same cluster has learnt, where it goes on under new settings.
 func (c *Controller) Inherit(old *Controller) {
 	for _, k := range c.classes {
-		if o := old.byName[k.Name]; o != nil {
+		if o := old.byName[named{k.Name, k.highPriority}]; o != nil {
 			k.base, k.mean, k.dev, k.baseAt = o.base, o.mean, o.dev, o.baseAt
 		}
 	}
@@ -419,26 +502,40 @@
 		c.queue.dropped = c.queue.dropped[:n-1]
 		return d.seq, logic.Refuse, d.after, true
 	}
-	if c.queue.n == 0 || c.active >= c.bound() {
+	k := c.turn()
+	if k == nil {
 		return 0, 0, 0, false
 	}
-	k := c.turn()
 	e := k.next(now-k.since > c.mayWait(k, k.Wanted))
 	seq := e.seq
-	c.queue.remove(e)
+	c.remove(e)
 	c.queue.free(e)
 	c.queued++
-	c.start(now)
+	c.start(now, k.highPriority)
 	return seq, logic.Start, 0, true
 }
 
+// remove takes a request out of those that wait.
+func (c *Controller) remove(e *entry) {
+	c.of(e.class.highPriority).waiting--
+	c.queue.remove(e)
+}
+
 // turn is the class whose request starts next: the one of the highest worth, but for those that their floor owes a start.
+// nil: there is none, or no room.
 func (c *Controller) turn() (next *class) {
+	if c.queue.n == 0 {
+		return nil
+	}
+	may := [2]bool{c.room(false), c.room(true)}
 	for _, k := range c.classes {
-		if k.waiting > 0 && (next == nil || k.credit >= 1 && next.credit < 1) {
+		if k.waiting > 0 && (may[0] && !k.highPriority || may[1] && k.highPriority) && (next == nil || k.credit >= 1 && next.credit < 1) {
 			next = k
 		}
 	}
+	if next == nil {
+		return nil
+	}
 	for _, k := range c.classes {
 		if k.waiting > 0 && k != next {
 			k.credit = min(k.credit+c.opt.Floor, 2)
@@ -451,15 +548,16 @@
 // Leave ends the wait of a request.
 func (c *Controller) Leave(seq uint64) {
 	if e := c.queue.bySeq[seq]; e != nil {
-		c.queue.remove(e)
+		c.remove(e)
 		c.queue.free(e)
 	}
 }
 
 // Done ends a request that started.
-func (c *Controller) Done(now time.Duration) {
+func (c *Controller) Done(now time.Duration, high bool) {
 	now = c.tick(now)
 	c.active = max(c.active-1, 0)
+	c.of(high).active = max(c.of(high).active-1, 0)
 	if c.queue.n > 0 {
 		c.served.add(now)
 	}
@@ -475,12 +573,13 @@
 func (c *Controller) Ended(now time.Duration, s logic.Sample) {
 	now = c.tick(now)
 	if s.Retry {
-		c.retries.out = max(c.retries.out-1, 0)
+		p := c.of(s.High)
+		p.retries = max(p.retries-1, 0)
 	}
 	if s.Result == logic.Cancelled || s.Result == logic.NotSent {
 		return
 	}
-	k := c.class(s.Class)
+	k := c.class(s.Class, s.High)
 	k.observe(now, s, c.limit.cutAt)
 	if c.opt.Mode == Adaptive {
 		if why := c.limit.look(now, &c.opt, c.classes, c.endpoints, c.active); why != "" {
@@ -489,21 +588,37 @@
 	}
 }
 
-// MayRetry tells whether one more attempt may be made for a request that has had one.
-func (c *Controller) MayRetry(now time.Duration) bool {
+// MayRetry tells whether one more attempt may be made for a request that has had one. The budget is the cluster's, what is
+// in flight is bounded by priority.
+func (c *Controller) MayRetry(now time.Duration, high bool) bool {
 	now = c.tick(now)
-	if c.opt.RetryPercent > 0 {
-		c.retries.most = max(int(c.opt.RetryPercent/100*float64(c.active+c.queue.n)), c.opt.RetryLeast)
-		if c.retries.most == 0 {
-			c.retries.denied++
-			return false
-		}
+	if p := c.of(high); !p.mayRetry() || !c.retries.may(now) {
+		c.denied++
+		return false
+	}
+	return true
+}
+
+func (p *priority) mayRetry() bool {
+	if p.RetryPercent > 0 {
+		return p.retries < max(int(p.RetryPercent/100*float64(p.active+p.waiting)), p.RetryLeast)
 	}
-	return c.retries.may(now)
+	return p.MaxRetries == 0 || p.retries < p.MaxRetries
+}
+
+// have is how many retries the budget has left; -1 where the most are in flight.
+func (c *Controller) have(now time.Duration) int {
+	if !c.priority[0].mayRetry() {
+		return -1
+	}
+	return c.retries.have(now)
 }
 
 // Retried takes that it was made.
-func (c *Controller) Retried(now time.Duration) { c.retries.spend(c.tick(now)) }
+func (c *Controller) Retried(now time.Duration, high bool) {
+	c.retries.spend(c.tick(now))
+	c.of(high).retries++
+}
 
 // Report is how a cluster stands.
 type Report struct {
@@ -511,6 +626,7 @@
 	Limit      int // requests in flight; 0: no bound
 	Active     int
 	Waiting    int
+	Bytes      int64   // of the requests that wait
 	Throughput float64 // requests a second that the endpoints do, as it is known; 0: not known
 	Short      bool
 	Evidence   string // of the last time that the limit fell
@@ -525,6 +641,7 @@
 // ClassReport is how a class stands.
 type ClassReport struct {
 	Name     string
+	High     bool          // of the priority HIGH
 	Baseline time.Duration // what its quicker answers take where nothing stands before them; 0: not known
 	Mean     time.Duration
 	Target   time.Duration // above which its quicker answers show a queue
@@ -535,16 +652,16 @@
 // Report tells how it stands.
 func (c *Controller) Report(now time.Duration) Report {
 	now = c.tick(now)
-	r := Report{Mode: c.opt.Mode, Active: c.active, Waiting: c.queue.n, Throughput: c.throughput(now), Short: c.short && now-c.shortAt <= well, Evidence: c.evidence,
-		Started: c.started, Queued: c.queued, Refused: map[string]uint64{}, Retries: c.retries.have(now), Denied: c.retries.denied}
-	if b := c.bound(); b < math.MaxInt {
+	r := Report{Mode: c.opt.Mode, Active: c.active, Waiting: c.queue.n, Bytes: c.queue.bytes, Throughput: c.throughput(now), Short: c.short && now-c.shortAt <= well, Evidence: c.evidence,
+		Started: c.started, Queued: c.queued, Refused: map[string]uint64{}, Retries: c.have(now), Denied: c.denied}
+	if b := c.boundOf(false); b < math.MaxInt {
 		r.Limit = b
 	}
 	for i, n := range c.refused {
 		r.Refused[Reason(i).String()] = n
 	}
 	for _, k := range c.classes {
-		r.Classes = append(r.Classes, ClassReport{Name: k.Name, Baseline: time.Duration(k.base), Mean: time.Duration(k.mean),
+		r.Classes = append(r.Classes, ClassReport{Name: k.Name, High: k.highPriority, Baseline: time.Duration(k.base), Mean: time.Duration(k.mean),
 			Target: time.Duration(k.target()), Waiting: k.waiting, Refused: k.refused})
 	}
 	return r
--- a/internal/admit/admit_test.go
+++ b/internal/admit/admit_test.go
@@ -37,7 +37,7 @@
 
 func (c *Controller) answered(t *testing.T, now, took time.Duration, class string) {
 	t.Helper()
-	c.Done(now)
+	c.Done(now, false)
 	c.Ended(now, logic.Sample{Class: class, Sent: now - took, Took: took, Result: logic.Served})
 }
 
@@ -67,7 +67,7 @@
 	}
 	got := [3]int{}
 	for range 60 {
-		c.Done(0)
+		c.Done(0, false)
 		for _, seq := range c.starts(0) {
 			got[(seq-10)%3]++
 		}
@@ -94,7 +94,7 @@
 	}
 	small := 0
 	for range 10 {
-		c.Done(0)
+		c.Done(0, false)
 		for _, seq := range c.starts(0) {
 			if seq >= 300 {
 				small++
@@ -125,7 +125,7 @@
 		t.Errorf("%d waited too long, %d wait", c.refused[Waited], c.queue.n)
 	}
 	c.ask(272*ms, 4, "map", "")
-	c.Done(280 * ms)
+	c.Done(280*ms, false)
 	if l := c.starts(280 * ms); fmt.Sprint(l) != "[4]" {
 		t.Errorf("%v starts: requests wait for longer than is wanted, the newest comes first", l)
 	}
@@ -153,7 +153,7 @@
 		lowest = min(lowest, c.bound())
 	}
 	for range open {
-		c.Done(from + long)
+		c.Done(from+long, false)
 	}
 	return lowest
 }
@@ -164,7 +164,7 @@
 	c := controller(t, nil)
 	c.feed(t, ms, 10*time.Second, queue)
 	if b := c.bound(); b < 4 || b > 24 {
-		t.Errorf("limit %d before four workers that began in an overload; baseline %v", b, time.Duration(c.byName["map"].base))
+		t.Errorf("limit %d before four workers that began in an overload; baseline %v", b, time.Duration(c.byName[named{"map", false}].base))
 	}
 	c = controller(t, nil)
 	slow := func(int) time.Duration { return 700 * ms } // more than twice what is wanted, whatever is in flight
@@ -246,7 +246,7 @@
 		if v := c.ask(now, uint64(i+1), "map", ""); v != logic.Start {
 			t.Fatalf("verdict %d", v)
 		}
-		c.Done(now + ms)
+		c.Done(now+ms, false)
 		c.Ended(now+ms, logic.Sample{Class: "map", Sent: now, Took: ms, Result: []logic.Result{logic.Errored, logic.ConnLost, logic.NotConnected}[i%3]})
 	}
 	if c.bound() != before {
@@ -290,8 +290,8 @@
 func TestRetryBudget(t *testing.T) {
 	c := controller(t, func(o *Options) { o.RetryRatio, o.RetryRate, o.RetryTTL = 0.2, 1, 10*time.Second })
 	spend := func(now time.Duration) (n int) {
-		for c.MayRetry(now) && n < 1000 {
-			c.Retried(now)
+		for c.MayRetry(now, false) && n < 1000 {
+			c.Retried(now, false)
 			n++
 		}
 		return n
@@ -331,6 +331,75 @@
 	}
 }
 
+// Each of Envoy's priorities has circuit breakers of its own, before one limit and one retry budget.
+func TestPriorities(t *testing.T) {
+	c := controller(t, func(o *Options) {
+		o.Mode, o.Limit, o.RetryRate = Fixed, 3, 100
+		o.Breakers = Breakers{MaxRequests: 2, MaxPending: 1, MaxRetries: 1}
+		o.High = Breakers{MaxRequests: 2, MaxPending: 2, MaxRetries: 2}
+	})
+	ask := func(seq uint64, high bool) logic.Verdict {
+		v, _ := c.Arrive(0, logic.Arrival{Seq: seq, Class: "map", High: high, Left: time.Second})
+		return v
+	}
+	for i, want := range []struct {
+		high bool
+		v    logic.Verdict
+	}{{false, logic.Start}, {false, logic.Start}, {false, logic.Wait}, {false, logic.Refuse}, {true, logic.Start}, {true, logic.Wait}, {true, logic.Wait},
+		{true, logic.Refuse}} {
+		if v := ask(uint64(i), want.high); v != want.v {
+			t.Errorf("request %d, high %v: verdict %d, want %d", i, want.high, v, want.v)
+		}
+	}
+	if c.Done(0, true); fmt.Sprint(c.starts(0)) != "[5]" { // 2 has room in the limit, but not in its breaker
+		t.Error("one of HIGH ends: another of HIGH starts")
+	}
+	for _, want := range []string{"[6]", "[2]"} { // of equal worth HIGH starts first
+		c.Done(0, want == "[2]")
+		if l := c.starts(0); fmt.Sprint(l) != want {
+			t.Errorf("one ends: %v starts, want %s", l, want)
+		}
+	}
+	for _, high := range []bool{false, true} {
+		n := 0
+		for ; n < 10 && c.MayRetry(0, high); n++ {
+			c.Retried(0, high)
+		}
+		if want := map[bool]int{false: 1, true: 2}[high]; n != want {
+			t.Errorf("high %v: %d retries in flight, want %d", high, n, want)
+		}
+	}
+	if c.Ended(0, logic.Sample{Class: "map", High: true, Retry: true, Result: logic.Served}); !c.MayRetry(0, true) || c.MayRetry(0, false) {
+		t.Error("a retry of HIGH ended: one more of HIGH may be made, none of DEFAULT")
+	}
+}
+
+// Requests that wait are bounded in bytes; what is worth more takes the place of what is worth less, if that is enough.
+func TestWaitingBytes(t *testing.T) {
+	c := controller(t, func(o *Options) { o.Mode, o.Limit, o.PendingBytes = Fixed, 1, 100 })
+	seq := uint64(0)
+	ask := func(class string, size int64) logic.Verdict {
+		seq++
+		v, _ := c.Arrive(0, logic.Arrival{Seq: seq, Class: class, Size: size, Left: time.Second})
+		return v
+	}
+	ask("map", 1000) // starts: what is in flight is not what waits
+	for i, want := range []struct {
+		class string
+		size  int64
+		v     logic.Verdict
+		kept  int64
+	}{{"map", 60, logic.Wait, 60}, {"map", 41, logic.Refuse, 60}, {"map", 40, logic.Wait, 100}, {"pay", 101, logic.Refuse, 100}, {"pay", 50, logic.Wait, 90},
+		{"hold", 60, logic.Refuse, 90}, {"hold", 50, logic.Wait, 100}} {
+		if v := ask(want.class, want.size); v != want.v || c.queue.bytes != want.kept {
+			t.Errorf("%d, %s of %d bytes: verdict %d, %d kept; want %d, %d", i, want.class, want.size, v, c.queue.bytes, want.v, want.kept)
+		}
+	}
+	if c.refused[Displaced] != 2 || c.refused[QueueFull] != 3 {
+		t.Errorf("%v", c.refused)
+	}
+}
+
 // Under any order of arrivals, ends, leaves, times and evidence: each request that waits ends once, counters return to 0,
 // limits stay within their bounds, and the limit falls only with evidence.
 func TestAnyOrder(t *testing.T) {
@@ -339,12 +408,14 @@
 		o.Mode = Mode(rapid.IntRange(0, 2).Draw(t, "mode"))
 		o.PerEndpoint, o.Limit = rapid.IntRange(1, 20).Draw(t, "per endpoint"), rapid.IntRange(1, 20).Draw(t, "limit")
 		o.MaxPending, o.MaxRequests = rapid.IntRange(1, 20).Draw(t, "pending"), rapid.IntRange(0, 30).Draw(t, "most")
+		o.High.MaxPending, o.High.MaxRequests = rapid.IntRange(1, 20).Draw(t, "high pending"), rapid.IntRange(0, 30).Draw(t, "high most")
+		o.PendingBytes = int64(rapid.IntRange(0, 100).Draw(t, "bytes"))
 		c, err := New(o, rapid.Uint64().Draw(t, "seed"))
 		if err != nil {
 			t.Fatal(err)
 		}
 		now, seq := time.Duration(0), uint64(0)
-		waits, started := map[uint64]bool{}, 0
+		waits, started, high, size := map[uint64]bool{}, []bool{}, map[uint64]bool{}, map[uint64]int64{}
 		take := func() {
 			for n := 0; ; n++ {
 				id, v, after, ok := c.Next(now)
@@ -356,7 +427,7 @@
 				}
 				delete(waits, id)
 				if v == logic.Start {
-					started++
+					started = append(started, high[id])
 				} else if after <= 0 || after > c.opt.MostAdvice {
 					t.Fatalf("come back in %v", after)
 				}
@@ -369,11 +440,12 @@
 			switch rapid.IntRange(0, 7).Draw(t, "event") {
 			case 0, 1, 2:
 				seq++
-				v, after := c.Arrive(now, logic.Arrival{Seq: seq, Class: rapid.SampledFrom([]string{"map", "hold", "pay", "?"}).Draw(t, "class"),
+				high[seq], size[seq] = rapid.Bool().Draw(t, "high"), int64(rapid.IntRange(0, 60).Draw(t, "size"))
+				v, after := c.Arrive(now, logic.Arrival{Seq: seq, High: high[seq], Size: size[seq], Class: rapid.SampledFrom([]string{"map", "hold", "pay", "?"}).Draw(t, "class"),
 					Tenant: rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "tenant"), Left: time.Duration(rapid.IntRange(1, 2000).Draw(t, "left")) * ms})
 				switch {
 				case v == logic.Start:
-					started++
+					started = append(started, high[seq])
 				case v == logic.Wait && after > 0:
 					waits[seq] = true
 				case after <= 0:
@@ -389,11 +461,12 @@
 				c.Endpoints(now, rapid.IntRange(0, 5).Draw(t, "endpoints"))
 				evidence = true
 			default:
-				if started > 0 {
-					started--
+				if len(started) > 0 {
+					h := started[0]
+					started = started[1:]
 					took := time.Duration(rapid.IntRange(0, 900).Draw(t, "took")) * ms
-					c.Done(now)
-					c.Ended(now, logic.Sample{Class: "map", Sent: now - took, Took: took, Result: logic.Result(rapid.IntRange(0, int(logic.NotSent)).Draw(t, "result"))})
+					c.Done(now, h)
+					c.Ended(now, logic.Sample{High: h, Class: "map", Sent: now - took, Took: took, Result: logic.Result(rapid.IntRange(0, int(logic.NotSent)).Draw(t, "result"))})
 					evidence = true
 				}
 			}
@@ -403,8 +476,22 @@
 				t.Fatalf("the limit falls from %d to %d with no evidence", before, b)
 			}
 			before = b
-			if b < 1 || o.MaxRequests > 0 && b > o.MaxRequests || c.active != started || c.queue.n != len(waits) || len(waits) > o.MaxPending {
-				t.Fatalf("limit %d, %d of %d in flight, %d of %d wait", b, c.active, started, c.queue.n, len(waits))
+			if b < 1 || c.active != len(started) || c.queue.n != len(waits) {
+				t.Fatalf("limit %d, %d of %d in flight, %d of %d wait", b, c.active, len(started), c.queue.n, len(waits))
+			}
+			bytes, count := int64(0), [2]int{}
+			for id := range waits {
+				bytes += size[id]
+				count[map[bool]int{true: 1}[high[id]]]++
+			}
+			if bytes != c.queue.bytes || o.PendingBytes > 0 && bytes > o.PendingBytes {
+				t.Fatalf("%d bytes wait, counted %d, %d may", bytes, c.queue.bytes, o.PendingBytes)
+			}
+			for i, p := range []Breakers{o.Breakers, o.High} {
+				of := c.priority[i]
+				if of.waiting != count[i] || of.waiting > p.MaxPending || p.MaxRequests > 0 && of.active > p.MaxRequests {
+					t.Fatalf("priority %d: %d of %d wait, %d of %d in flight", i, of.waiting, p.MaxPending, of.active, p.MaxRequests)
+				}
 			}
 			in := 0
 			for _, k := range c.classes {
@@ -423,17 +510,19 @@
 				t.Fatalf("%d, %d, %d, %d wait", in, c.queue.n, len(c.queue.until), len(c.queue.bySeq))
 			}
 		}
-		for ; started > 0; started-- {
-			c.Done(now)
+		for _, h := range started {
+			c.Done(now, h)
 		}
+		started = nil
 		now += time.Minute
 		take()
-		for started > 0 {
-			started--
-			c.Done(now)
+		for len(started) > 0 {
+			h := started[0]
+			started = started[1:]
+			c.Done(now, h)
 			take()
 		}
-		if c.active != 0 || c.queue.n != 0 || len(waits) != 0 {
+		if c.active != 0 || c.priority[0].active != 0 || c.priority[1].active != 0 || c.queue.n != 0 || len(waits) != 0 {
 			t.Fatalf("%d in flight, %d wait in the end", c.active, c.queue.n)
 		}
 	})
@@ -447,6 +536,8 @@
 		"budget": func(o *Options) { o.RetryRatio = math.NaN() },
 		"wait":   func(o *Options) { o.MaxWait = -1 },
 		"most":   func(o *Options) { o.MaxRequests = -1 },
+		"high":   func(o *Options) { o.High.MaxRetries = -1 },
+		"bytes":  func(o *Options) { o.PendingBytes = -1 },
 	} {
 		o := options()
 		change(&o)
@@ -466,7 +557,7 @@
 			b.Fatal("not started")
 		}
 		c.Next(now)
-		c.Done(now)
+		c.Done(now, false)
 		c.Ended(now, logic.Sample{Class: "map", Sent: now, Took: 5 * ms, Result: logic.Served})
 		c.Next(now)
 	}
--- a/internal/admit/budget.go
+++ b/internal/admit/budget.go
@@ -7,12 +7,9 @@
 type budget struct {
 	ratio, rate float64
 	ttl         time.Duration
-	most        int // in flight; 0: no bound
 
-	slots  [10]float64 // earned less spent, by tenths of ttl
-	slot   int64       // the newest
-	out    int
-	denied uint64
+	slots [10]float64 // earned less spent, by tenths of ttl
+	slot  int64       // the newest
 }
 
 func (b *budget) turn(now time.Duration) {
@@ -41,24 +38,16 @@
 
 func (b *budget) may(now time.Duration) bool {
 	b.turn(now)
-	if b.left() < 1-1e-9 || b.most > 0 && b.out >= b.most {
-		b.denied++
-		return false
-	}
-	return true
+	return b.left() >= 1-1e-9
 }
 
 func (b *budget) spend(now time.Duration) {
 	b.turn(now)
 	b.slots[b.slot%int64(len(b.slots))]--
-	b.out++
 }
 
-// have is what is left; -1 where the most are in flight.
+// have is what is left.
 func (b *budget) have(now time.Duration) int {
 	b.turn(now)
-	if b.most > 0 && b.out >= b.most {
-		return -1
-	}
 	return max(int(b.left()), 0)
 }
--- a/internal/admit/limit.go
+++ b/internal/admit/limit.go
@@ -136,8 +136,8 @@
 
 func (l *limiter) clamp(o *Options) {
 	most := 1e6
-	if o.MaxRequests > 0 {
-		most = float64(o.MaxRequests)
+	if o.MaxRequests > 0 && o.High.MaxRequests > 0 {
+		most = float64(o.MaxRequests + o.High.MaxRequests)
 	}
 	l.now = max(min(l.now, most), min(least, most))
 }
--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -15,6 +15,7 @@
 	until      time.Duration
 	prev, next *entry
 	at         int // in the heap
+	size       int64
 }
 
 // line is the requests of one tenant that wait, the oldest first.
@@ -27,6 +28,7 @@
 // waiting is all requests of a cluster that wait.
 type waiting struct {
 	n       int
+	bytes   int64
 	bySeq   map[uint64]*entry
 	until   expiry
 	dropped []dropped
@@ -72,7 +74,7 @@
 		e = &entry{}
 	}
 	w.spare = e.next
-	*e = entry{seq: a.Seq, class: k, line: l, until: until, prev: l.last}
+	*e = entry{seq: a.Seq, class: k, line: l, until: until, prev: l.last, size: a.Size}
 	if l.last != nil {
 		l.last.next = e
 	} else {
@@ -81,7 +83,9 @@
 	l.last = e
 	l.n++
 	k.waiting++
+	k.bytes += a.Size
 	w.n++
+	w.bytes += a.Size
 	if w.bySeq == nil {
 		w.bySeq = map[uint64]*entry{}
 	}
@@ -114,7 +118,9 @@
 	if k.waiting--; k.waiting == 0 {
 		k.credit = 0
 	}
+	k.bytes -= e.size
 	w.n--
+	w.bytes -= e.size
 	delete(w.bySeq, e.seq)
 	heap.Remove(&w.until, e.at)
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -144,6 +144,7 @@
 	PerEndpoint int         `yaml:"per_endpoint"` // requests in flight for each endpoint that an adaptive limit begins with
 	Limit       int         `yaml:"limit"`        // requests in flight, of a fixed one
 	MaxWait     Duration    `yaml:"max_wait"`     // of a request before it starts; 0: what its class's wanted time leaves
+	MaxWaiting  Size        `yaml:"max_waiting"`  // of the bodies of requests that wait; 0: the cluster's part of limits.memory alone
 	Floor       *float64    `yaml:"floor"`        // of starts, for each class with waiting requests whatever its worth
 	Retries     RetryEarned `yaml:"retries"`
 }
@@ -162,6 +163,9 @@
 	MaxPending     int          `yaml:"max_pending_requests"` // requests that wait to start; 1024 where it is left out
 	MaxRetries     int          `yaml:"max_retries"`          // in flight
 	RetryBudget    *RetryBudget `yaml:"retry_budget,omitempty"`
+	// High is of requests on routes of the priority high, which are counted apart; nil: no bounds but 1024 that wait.
+	// Connections to endpoints are shared, its max_connections is not read.
+	High *Breakers `yaml:"high,omitempty"`
 }
 
 // RetryBudget bounds retries in flight by requests in flight or waiting. It takes the place of max_retries.
@@ -232,7 +236,8 @@
 	Clusters []Weighted `yaml:"clusters,omitempty"`
 	Class    string     `yaml:"class,omitempty"` // none: default-safe for GET, HEAD and OPTIONS, else default-unsafe
 	Key      Key        `yaml:"key,omitempty"`
-	Tenant   Key        `yaml:"tenant,omitempty"` // whose request it is: tenants take turns where requests wait
+	Tenant   Key        `yaml:"tenant,omitempty"`   // whose request it is: tenants take turns where requests wait
+	Priority string     `yaml:"priority,omitempty"` // default or high: which circuit breakers count
 }
 
 // RateLimit bounds how often requests with the same key may come, over all gateways. Empty lists cover all.
@@ -574,13 +579,24 @@
 	if t := o.Retries.TTL; t < Duration(100*time.Millisecond) || t > Duration(time.Hour) {
 		d.at(field+".overload.retries.ttl", "want 100ms to 1h, not %v", t.D())
 	}
-	between("circuit_breakers.max_connections", float64(b.MaxConnections), 0, 1e6)
-	between("circuit_breakers.max_requests", float64(b.MaxRequests), 0, 1e6)
-	between("circuit_breakers.max_pending_requests", float64(b.MaxPending), 1, 1e6)
-	between("circuit_breakers.max_retries", float64(b.MaxRetries), 0, 1e6)
-	if r := b.RetryBudget; r != nil {
-		between("circuit_breakers.retry_budget.budget_percent", r.Percent, 0, 100)
-		between("circuit_breakers.retry_budget.min_retry_concurrency", float64(r.MinConcurrency), 0, 1e6)
+	for at, b := range map[string]*Breakers{"circuit_breakers.": b, "circuit_breakers.high.": b.High} {
+		if b == nil {
+			continue
+		}
+		between(at+"max_connections", float64(b.MaxConnections), 0, 1e6)
+		between(at+"max_requests", float64(b.MaxRequests), 0, 1e6)
+		between(at+"max_pending_requests", float64(b.MaxPending), 1, 1e6)
+		between(at+"max_retries", float64(b.MaxRetries), 0, 1e6)
+		if r := b.RetryBudget; r != nil {
+			between(at+"retry_budget.budget_percent", r.Percent, 0, 100)
+			between(at+"retry_budget.min_retry_concurrency", float64(r.MinConcurrency), 0, 1e6)
+		}
+	}
+	if h := b.High; h != nil && h.MaxConnections > 0 {
+		d.at(field+".circuit_breakers.high.max_connections", "connections are shared by both priorities, set it for the cluster")
+	}
+	if h := b.High; h != nil && h.High != nil {
+		d.at(field+".circuit_breakers.high.high", "there are two priorities")
 	}
 }
 
@@ -707,6 +723,9 @@
 		if r.Class != "" && !classes[r.Class] {
 			d.at(field+".class", "there is no class %q", r.Class)
 		}
+		if p := r.Priority; p != "" && p != "default" && p != "high" {
+			d.at(field+".priority", "want default or high, not %q", p)
+		}
 		named := func(field, name string) {
 			if name != "" && !clusters[name] && (f.XDS == nil || !f.XDS.Clusters) {
 				d.at(field, "there is no cluster %q", name)
@@ -779,7 +798,7 @@
 	for i, r := range f.Routes {
 		l[i] = route.Route{Name: r.Name, Hosts: r.Match.Hosts, Path: r.Match.Path, Template: r.Match.Template,
 			Prefix: r.Match.Prefix, Methods: r.Match.Methods, Headers: conditions(r.Match.Headers),
-			Query: conditions(r.Match.Query), Class: r.Class, Key: route.Key(r.Key), Tenant: route.Key(r.Tenant)}
+			Query: conditions(r.Match.Query), Class: r.Class, Key: route.Key(r.Key), Tenant: route.Key(r.Tenant), High: r.Priority == "high"}
 		if r.Cluster != "" {
 			l[i].Clusters = []route.Weighted{{Cluster: r.Cluster, Weight: 1}}
 		}
--- a/internal/config/defaults.go
+++ b/internal/config/defaults.go
@@ -114,10 +114,12 @@
 			*p = new(v)
 		}
 	}
-	set(&b.MaxPending, 1024)
-	if r := b.RetryBudget; r != nil { // Envoy's defaults
-		set(&r.Percent, 20)
-		set(&r.MinConcurrency, 3)
+	for b := b; b != nil; b = b.High {
+		set(&b.MaxPending, 1024)
+		if r := b.RetryBudget; r != nil { // Envoy's defaults
+			set(&r.Percent, 20)
+			set(&r.MinConcurrency, 3)
+		}
 	}
 	if c.Hedge == nil {
 		c.Hedge = new(true)
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -5,14 +5,23 @@
 	"time"
 
 	"arrowhitch/internal/admit"
+	"arrowhitch/internal/config"
 	"arrowhitch/logic"
 )
 
 func (s *spec) admitOptions() admit.Options {
 	v, b := &s.conf.Overload, &s.conf.Breakers
 	o := admit.Options{Mode: admit.Mode(v.Mode), Gateways: s.gateway.Of, PerEndpoint: v.PerEndpoint, Limit: v.Limit, MaxWait: v.MaxWait.D(), Floor: orNone(*v.Floor),
-		MaxRequests: b.MaxRequests, MaxPending: b.MaxPending, MaxRetries: b.MaxRetries,
+		Breakers: admitBreakers(b), PendingBytes: int64(v.MaxWaiting),
 		RetryRatio: orNone(*v.Retries.Ratio), RetryRate: orNone(*v.Retries.Rate), RetryTTL: v.Retries.TTL.D()}
+	if b.High != nil {
+		o.High = admitBreakers(b.High)
+	}
+	return o
+}
+
+func admitBreakers(b *config.Breakers) admit.Breakers {
+	o := admit.Breakers{MaxRequests: b.MaxRequests, MaxPending: b.MaxPending, MaxRetries: b.MaxRetries}
 	if r := b.RetryBudget; r != nil {
 		o.RetryPercent, o.RetryLeast = r.Percent, r.MinConcurrency
 	}
@@ -68,6 +77,7 @@
 	Limit      int               `json:"limit,omitempty"` // requests in flight; none: no bound
 	Active     int               `json:"in_flight"`
 	Waiting    int               `json:"waiting"`
+	Bytes      int64             `json:"waiting_bytes"`
 	Throughput float64           `json:"endpoints_do_per_second,omitempty"` // as far as is known
 	Short      bool              `json:"short"`
 	Evidence   string            `json:"evidence,omitempty"` // of the last time that the limit fell
@@ -81,7 +91,7 @@
 
 // ClassAdmission is about one class.
 type ClassAdmission struct {
-	Name     string  `json:"name"`
+	Name     string  `json:"name"`                  // with @high: on routes of that priority
 	Baseline float64 `json:"baseline_ms,omitempty"` // of its quicker answers where nothing stands before them
 	Mean     float64 `json:"mean_ms,omitempty"`
 	Target   float64 `json:"target_ms"` // above which its quicker answers show a queue
@@ -92,10 +102,13 @@
 func (in *instance) admissionStatus() AdmissionStatus {
 	var r admit.Report
 	in.core.Inspect(func(now time.Duration) { r = in.admission.Report(now) })
-	s := AdmissionStatus{Mode: r.Mode.String(), Limit: r.Limit, Active: r.Active, Waiting: r.Waiting, Throughput: r.Throughput, Short: r.Short,
+	s := AdmissionStatus{Mode: r.Mode.String(), Limit: r.Limit, Active: r.Active, Waiting: r.Waiting, Bytes: r.Bytes, Throughput: r.Throughput, Short: r.Short,
 		Evidence: r.Evidence, Started: r.Started, Waited: r.Queued, Refused: r.Refused, Retries: r.Retries, Denied: r.Denied}
 	ms := func(d time.Duration) float64 { return d.Seconds() * 1000 }
 	for _, k := range r.Classes {
+		if k.High {
+			k.Name += "@high"
+		}
 		s.Classes = append(s.Classes, ClassAdmission{k.Name, ms(k.Baseline), ms(k.Mean), ms(k.Target), k.Waiting, k.Refused})
 	}
 	return s
--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -211,6 +212,51 @@
 	all.Wait()
 }
 
+// A control plane's routes of the priority HIGH have circuit breakers of their own, from the file and from xDS alike.
+func TestHighPriority(t *testing.T) {
+	const thresholds = `{"circuit_breakers":{"thresholds":[{"max_requests":1,"max_pending_requests":1},{"priority":"HIGH","max_requests":2,"max_pending_requests":1}]}}`
+	for _, source := range []string{"file", "xds"} {
+		t.Run(source, func(t *testing.T) {
+			fakes.Leaks(t)
+			o := server(t)
+			goOn := make(chan struct{})
+			o.Script(func(http.ResponseWriter, *http.Request) bool { <-goOn; return false })
+			var g *Gateway
+			if source == "file" {
+				conf := four(t, "circuit_breakers: {max_requests: 1, max_pending_requests: 1, high: {max_requests: 2, max_pending_requests: 1}}, ", o)
+				g = run(t, strings.Replace(conf, "routes: [", "routes: [{name: h, match: {prefix: /high}, cluster: c, priority: high}, ", 1))
+			} else {
+				s := plane(t)
+				c, r := cds("c"), rds("r", [2]string{"/high", "c"}, [2]string{"/", "c"})
+				if err := errors.Join(xdsPolicy(c, thresholds), xdsHigh(r)); err != nil {
+					t.Fatal(err)
+				}
+				push(t, s, "1", false, c, eds("c", controlplane.Endpoint{Addr: o.Addr}), r)
+				g = begin(t, "clusters: []\nroutes: []\n"+ads(s, ""))
+				fakes.Eventually(t, "the gateway to be ready", g.Ready)
+			}
+			var all sync.WaitGroup
+			for path, want := range map[string]int64{"/low": 3, "/high": 2} {
+				var no atomic.Int64
+				for range 5 {
+					u := visit(t, g)
+					all.Go(func() {
+						if r, err := u.do(http.MethodGet, path); err == nil && r.status == 503 {
+							no.Add(1)
+						}
+					})
+				}
+				fakes.Eventually(t, path+" to be refused as its priority's breakers say", func() bool { return no.Load() == want })
+			}
+			if a := g.Status(0).Clusters[0].Admission; a.Active != 3 || a.Waiting != 2 {
+				t.Errorf("%+v", a)
+			}
+			close(goOn)
+			all.Wait()
+		})
+	}
+}
+
 // What an answer to HEAD says of its length is the server's, server-sent events come one by one, and a long answer comes
 // whole.
 func TestAnswersAsTheOriginMeansThem(t *testing.T) {
--- a/internal/gateway/cluster.go
+++ b/internal/gateway/cluster.go
@@ -144,9 +144,9 @@
 	l, n := g.file.Limits, max(len(named), 1)
 	for _, c := range named {
 		s := m[c.Name]
-		s.conf.Breakers = config.Breakers{MaxRequests: c.MostRequests, MaxPending: c.MostPending, MaxRetries: c.MostRetries}
-		if c.RetryBudget != nil {
-			s.conf.Breakers.RetryBudget = &config.RetryBudget{Percent: c.RetryBudget.Percent, MinConcurrency: c.RetryBudget.Least}
+		s.conf.Breakers = breakers(&c.Breakers)
+		if c.High != (xds.Breakers{}) {
+			s.conf.Breakers.High = new(breakers(&c.High))
 		}
 		s.conf.Fill()
 		s.part = config.Part{Guaranteed: config.Amount{Descriptors: l.Descriptors / 8 / n, Memory: l.Memory / 4 / config.Size(n),
@@ -161,6 +161,14 @@
 	return m
 }
 
+func breakers(b *xds.Breakers) config.Breakers {
+	c := config.Breakers{MaxRequests: b.MostRequests, MaxPending: b.MostPending, MaxRetries: b.MostRetries}
+	if b.RetryBudget != nil {
+		c.RetryBudget = &config.RetryBudget{Percent: b.RetryBudget.Percent, MinConcurrency: b.RetryBudget.Least}
+	}
+	return c
+}
+
 // syncClusters makes, changes and drops clusters.
 func (g *Gateway) syncClusters() {
 	specs := g.specs()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -262,7 +262,7 @@
 		c.past.dropped.Add(1)
 		return node.Destination{Status: http.StatusServiceUnavailable, Text: "refused by the control plane's drop_overloads"}
 	}
-	w := logic.Request{ID: strconv.FormatUint(g.ids.Add(1), 36), Class: found.Class, Key: found.Key, Tenant: found.Tenant}
+	w := logic.Request{ID: strconv.FormatUint(g.ids.Add(1), 36), Class: found.Class, Key: found.Key, Tenant: found.Tenant, High: found.Route.High}
 	switch r.Method {
 	case http.MethodGet, http.MethodHead, http.MethodOptions:
 		if w.Class == "" {
--- a/internal/gateway/helpers_test.go
+++ b/internal/gateway/helpers_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"errors"
+	"fmt"
 	"log/slog"
 	"net"
 
+	corev3 "github.com/envoyproxy/go-control-plane/envoy/config/core/v3"
+	routev3 "github.com/envoyproxy/go-control-plane/envoy/config/route/v3"
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
@@ -21,6 +24,16 @@
 	return nil
 }
 
+// xdsHigh gives the first route of a RouteConfiguration the priority HIGH.
+func xdsHigh(r controlplane.Resource) error {
+	m, ok := r.Body.(*routev3.RouteConfiguration)
+	if !ok {
+		return fmt.Errorf("%T has no routes", r.Body)
+	}
+	m.VirtualHosts[0].Routes[0].GetRoute().Priority = corev3.RoutingPriority_HIGH
+	return nil
+}
+
 func asOpError(err error, to **net.OpError) bool { return errors.As(err, to) }
 
 func quiet() *slog.Logger { return slog.New(slog.DiscardHandler) }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -57,7 +57,8 @@
 	Clusters []Weighted // one at least
 	Class    string
 	Key      Key
-	Tenant   Key // whose request it is, for a fair part of a wait
+	Tenant   Key  // whose request it is, for a fair part of a wait
+	High     bool // the priority HIGH of circuit breakers
 }
 
 // Condition is about one header or query parameter, of which the first value counts.
--- a/internal/standin/fleet/admission.go
+++ b/internal/standin/fleet/admission.go
@@ -46,8 +46,8 @@
 func (a *aimd) Next(time.Duration) (uint64, logic.Verdict, time.Duration, bool) {
 	return 0, 0, 0, false
 }
-func (a *aimd) Leave(uint64)       {}
-func (a *aimd) Done(time.Duration) { a.active-- }
+func (a *aimd) Leave(uint64)             {}
+func (a *aimd) Done(time.Duration, bool) { a.active-- }
 func (a *aimd) Ended(now time.Duration, s logic.Sample) {
 	switch {
 	case s.Result == logic.Cancelled || s.Result == logic.NotSent:
@@ -57,8 +57,8 @@
 		a.limit, a.cut = max(a.limit*0.9, 1), now
 	}
 }
-func (a *aimd) MayRetry(time.Duration) bool { return true }
-func (a *aimd) Retried(time.Duration)       {}
+func (a *aimd) MayRetry(time.Duration, bool) bool { return true }
+func (a *aimd) Retried(time.Duration, bool)       {}
 
 // Quantile is the time within which the part q of the answers of all classes came; 0 where there were none.
 func (p *Phase) Quantile(q float64) time.Duration {
--- a/internal/xds/resource.go
+++ b/internal/xds/resource.go
@@ -73,15 +73,50 @@
 	Static         *Assignment // STATIC
 	ConnectTimeout time.Duration
 	IdleTimeout    time.Duration // 0: not said
-	MostConns      int           // 0: not said
-	MostRequests   int
-	MostPending    int
-	MostRetries    int
-	RetryBudget    *RetryBudget // nil: not said
+	Breakers                     // of the priority DEFAULT
+	High           Breakers
 	WarmUp         time.Duration
 	Localities     bool // the weights of localities count
 }
 
+// Breakers are the circuit breakers of a routing priority; 0: not said.
+type Breakers struct {
+	MostConns    int
+	MostRequests int
+	MostPending  int
+	MostRetries  int
+	RetryBudget  *RetryBudget // nil: not said
+}
+
+func (b *Breakers) read(t *clusterv3.CircuitBreakers_Thresholds) error {
+	for _, to := range []struct {
+		name string
+		v    *wrapperspb.UInt32Value
+		n    *int
+	}{{"max_connections", t.GetMaxConnections(), &b.MostConns}, {"max_requests", t.GetMaxRequests(), &b.MostRequests},
+		{"max_pending_requests", t.GetMaxPendingRequests(), &b.MostPending}, {"max_retries", t.GetMaxRetries(), &b.MostRetries}} {
+		if to.v != nil {
+			*to.n = int(min(to.v.GetValue(), mostThreshold))
+		}
+		if to.v != nil && to.v.GetValue() == 0 && to.name != "max_retries" {
+			return fmt.Errorf("%s: 0 would refuse all requests", to.name)
+		}
+	}
+	switch r := t.GetRetryBudget(); {
+	case r != nil: // Envoy's defaults where one is left out
+		b.RetryBudget = &RetryBudget{Percent: 20, Least: 3}
+		if p := r.GetBudgetPercent(); p != nil {
+			b.RetryBudget.Percent = max(p.GetValue(), leastPercent)
+		}
+		if n := r.GetMinRetryConcurrency(); n != nil {
+			b.RetryBudget.Least = int(min(n.GetValue(), mostThreshold))
+		}
+	case t.GetMaxRetries() != nil && b.MostRetries == 0:
+		b.RetryBudget = &RetryBudget{Percent: leastPercent} // none at all
+	}
+	return nil
+}
+
 // RetryBudget bounds retries in flight by requests in flight, in place of MostRetries.
 type RetryBudget struct {
 	Percent float64
@@ -218,34 +253,21 @@
 	if b := m.GetCircuitBreakers(); b != nil {
 		sub(breakersTable, b, "circuit_breakers.")
 		for i, t := range b.GetThresholds() {
-			sub(thresholdsTable, t, fmt.Sprintf("circuit_breakers.thresholds[%d].", i))
-			if t.GetPriority() != corev3.RoutingPriority_DEFAULT {
-				continue
-			}
-			for name, to := range map[string]struct {
-				v *wrapperspb.UInt32Value
-				n *int
-			}{"max_connections": {t.GetMaxConnections(), &c.MostConns}, "max_requests": {t.GetMaxRequests(), &c.MostRequests},
-				"max_pending_requests": {t.GetMaxPendingRequests(), &c.MostPending}, "max_retries": {t.GetMaxRetries(), &c.MostRetries}} {
-				if to.v != nil {
-					*to.n = int(min(to.v.GetValue(), mostThreshold))
-				}
-				if to.v != nil && to.v.GetValue() == 0 && name != "max_retries" {
-					bad("circuit_breakers.thresholds[%d].%s: 0 would refuse all requests", i, name)
+			at := fmt.Sprintf("circuit_breakers.thresholds[%d].", i)
+			sub(thresholdsTable, t, at)
+			to := &c.Breakers
+			switch t.GetPriority() {
+			case corev3.RoutingPriority_DEFAULT:
+			case corev3.RoutingPriority_HIGH:
+				if to = &c.High; t.GetMaxConnections() != nil {
+					warn = append(warn, at+"max_connections: connections are shared by both priorities, it is not read for HIGH")
 				}
+			default:
+				bad("%spriority: %d is not known", at, t.GetPriority())
+				continue
 			}
-			switch b := t.GetRetryBudget(); {
-			case b != nil: // Envoy's defaults where one is left out
-				r := &RetryBudget{Percent: 20, Least: 3}
-				if p := b.GetBudgetPercent(); p != nil {
-					r.Percent = max(p.GetValue(), leastPercent)
-				}
-				if n := b.GetMinRetryConcurrency(); n != nil {
-					r.Least = int(min(n.GetValue(), mostThreshold))
-				}
-				c.RetryBudget = r
-			case t.GetMaxRetries() != nil && c.MostRetries == 0:
-				c.RetryBudget = &RetryBudget{Percent: leastPercent} // none at all
+			if berr := to.read(t); berr != nil {
+				bad("%s%w", at, berr)
 			}
 		}
 	}
--- a/internal/xds/resource_test.go
+++ b/internal/xds/resource_test.go
@@ -61,11 +61,11 @@
 		"eds_cluster_config":{"eds_config":{"self":{}},"service_name":"b"},"lb_policy":"LEAST_REQUEST",
 		"least_request_lb_config":{"slow_start_config":{"slow_start_window":"7s"}},
 		"common_http_protocol_options":{"idle_timeout":"9s"},"common_lb_config":{"locality_weighted_lb_config":{}},
-		"circuit_breakers":{"thresholds":[{"priority":"HIGH","max_requests":1},{"max_connections":5,"max_requests":6,"max_pending_requests":4294967295,"max_retries":8,
+		"circuit_breakers":{"thresholds":[{"priority":"HIGH","max_requests":1,"max_retries":0},{"max_connections":5,"max_requests":6,"max_pending_requests":4294967295,"max_retries":8,
 		"retry_budget":{"budget_percent":{"value":12.5}}}]}}`))
-	want := Cluster{Name: "a", Service: "b", ConnectTimeout: 300 * time.Millisecond, IdleTimeout: 9 * time.Second, MostConns: 5,
-		MostRequests: 6, MostPending: mostThreshold, MostRetries: 8, WarmUp: 7 * time.Second, Localities: true,
-		RetryBudget: &RetryBudget{Percent: 12.5, Least: 3}}
+	want := Cluster{Name: "a", Service: "b", ConnectTimeout: 300 * time.Millisecond, IdleTimeout: 9 * time.Second, WarmUp: 7 * time.Second, Localities: true,
+		Breakers: Breakers{MostConns: 5, MostRequests: 6, MostPending: mostThreshold, MostRetries: 8, RetryBudget: &RetryBudget{Percent: 12.5, Least: 3}},
+		High:     Breakers{MostRequests: 1, RetryBudget: &RetryBudget{Percent: leastPercent}}}
 	if err != nil || !reflect.DeepEqual(*c, want) {
 		t.Errorf("%+v, %v", c, err)
 	}
--- a/internal/xds/routes.go
+++ b/internal/xds/routes.go
@@ -34,8 +34,8 @@
 	routeTable = table{honoured: []string{"name", "match", "route", "metadata"},
 		ignored: []string{"decorator", "tracing", "stat_prefix", "response_headers_to_add", "response_headers_to_remove"}}
 	matchTable  = table{honoured: []string{"prefix", "path", "path_separated_prefix", "headers", "query_parameters", "case_sensitive"}}
-	actionTable = table{honoured: []string{"cluster", "weighted_clusters"},
-		ignored: []string{"timeout", "idle_timeout", "retry_policy", "cluster_not_found_response_code", "max_stream_duration", "priority", "hash_policy"}}
+	actionTable = table{honoured: []string{"cluster", "weighted_clusters", "priority"},
+		ignored: []string{"timeout", "idle_timeout", "retry_policy", "cluster_not_found_response_code", "max_stream_duration", "hash_policy"}}
 	weightedTable = table{honoured: []string{"clusters"}, ignored: []string{"total_weight", "runtime_key_prefix"}}
 	weightTable   = table{honoured: []string{"name", "weight"}}
 	headerTable   = table{honoured: []string{"name", "exact_match", "present_match", "prefix_match", "suffix_match", "contains_match",
@@ -191,6 +191,13 @@
 	default:
 		return r, fmt.Errorf("%scluster: is missing", path)
 	}
+	switch a.GetPriority() {
+	case corev3.RoutingPriority_DEFAULT:
+	case corev3.RoutingPriority_HIGH:
+		r.High = true
+	default:
+		return r, fmt.Errorf("%spriority: %d is not known", path, a.GetPriority())
+	}
 	if f := m.GetMetadata().GetFilterMetadata()[metadataName].GetFields(); f != nil {
 		r.Class = f["class"].GetStringValue()
 		r.Key.Header, r.Key.Query = f["key_header"].GetStringValue(), f["key_query"].GetStringValue()
--- a/logic/admission.go
+++ b/logic/admission.go
@@ -18,11 +18,14 @@
 	Seq           uint64 // by which Next and Leave name it
 	Class, Tenant string
 	Left          time.Duration
+	High          bool  // of Envoy's two routing priorities
+	Size          int64 // bytes that are kept while it waits
 }
 
 // Sample is how an attempt went, told once for each: as its answer began, or as it ended without one.
 type Sample struct {
 	Class  string
+	High   bool
 	Retry  bool // it was not its request's first
 	Sent   time.Duration
 	Took   time.Duration
@@ -42,17 +45,17 @@
 	// Leave tells that a request that waits is given up.
 	Leave(seq uint64)
 	// Done tells that a request that started has its answer, or that its long answer has begun.
-	Done(now time.Duration)
+	Done(now time.Duration, high bool)
 	// Ended tells how an attempt went.
 	Ended(now time.Duration, s Sample)
 	// MayRetry tells whether one more attempt may be made for a request that has had one; Retried that it was.
-	MayRetry(now time.Duration) bool
-	Retried(now time.Duration)
+	MayRetry(now time.Duration, high bool) bool
+	Retried(now time.Duration, high bool)
 }
 
 // arrive asks whether a request may start.
 func (b *Balancer) arrive(now time.Duration, r *request) {
-	v, after := b.set.Admission.Arrive(now, Arrival{Seq: r.seq, Class: r.Class, Tenant: r.Tenant, Left: r.Left})
+	v, after := b.set.Admission.Arrive(now, Arrival{Seq: r.seq, Class: r.Class, Tenant: r.Tenant, Left: r.Left, High: r.High, Size: r.Size})
 	if v == Wait {
 		r.waits = true
 		b.host.SetTimer(r.seq, after)
@@ -95,7 +98,7 @@
 	if r.waits {
 		b.set.Admission.Leave(r.seq)
 	} else if r.started {
-		b.set.Admission.Done(now)
+		b.set.Admission.Done(now, r.High)
 	}
 	r.waits, r.started = false, false
 }
@@ -103,14 +106,14 @@
 // sample tells how an attempt went.
 func (b *Balancer) sample(now time.Duration, r *request, n int, res Result, took time.Duration) {
 	if b.set.Admission != nil {
-		b.set.Admission.Ended(now, Sample{Class: r.Class, Retry: n > 0, Sent: r.tries[n].sent, Took: took, Result: res})
+		b.set.Admission.Ended(now, Sample{Class: r.Class, High: r.High, Retry: n > 0, Sent: r.tries[n].sent, Took: took, Result: res})
 	}
 }
 
 // spent tells whether no further attempt may be made beside first ones.
-func (b *Balancer) spent(now time.Duration) bool {
+func (b *Balancer) spent(now time.Duration, r *request) bool {
 	if b.set.Admission != nil {
-		return !b.set.Admission.MayRetry(now)
+		return !b.set.Admission.MayRetry(now, r.High)
 	}
 	return b.budget < 1
 }
--- a/logic/admission_test.go
+++ b/logic/admission_test.go
@@ -51,14 +51,14 @@
 	g.t.Fatalf("%d leaves and does not wait", seq)
 }
 
-func (g *gate) Done(time.Duration) {
+func (g *gate) Done(time.Duration, bool) {
 	if g.started--; g.started < 0 {
 		g.t.Fatal("more are done than started")
 	}
 }
-func (g *gate) Ended(time.Duration, Sample) { g.samples++ }
-func (g *gate) MayRetry(time.Duration) bool { return rapid.Bool().Draw(g.t, "retry") }
-func (g *gate) Retried(time.Duration)       {}
+func (g *gate) Ended(time.Duration, Sample)       { g.samples++ }
+func (g *gate) MayRetry(time.Duration, bool) bool { return rapid.Bool().Draw(g.t, "retry") }
+func (g *gate) Retried(time.Duration, bool)       {}
 
 // Whatever an admission says: each request has one final answer, none is sent before it starts, and what starts, waits and
 // ends is told once.
--- a/logic/api.go
+++ b/logic/api.go
@@ -167,11 +167,14 @@
 	ID     string
 	Class  string
 	Tenant string
-	Left   time.Duration
-	Work   time.Duration // expected work; 0: not known
-	Key    string        // what it concerns; may be empty
-	Write  bool
-	Retry  bool
+	// High and Size are for an Admission: the priority HIGH of Envoy's circuit breakers, and the bytes kept while it waits.
+	High  bool
+	Size  int64
+	Left  time.Duration
+	Work  time.Duration // expected work; 0: not known
+	Key   string        // what it concerns; may be empty
+	Write bool
+	Retry bool
 }
 
 // Result is how an attempt ended.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -619,7 +619,7 @@
 
 func (b *Balancer) candidate(now time.Duration, r *request, p Purpose) *server {
 	again := p != First
-	if again && b.spent(now) && (p != Copy || b.set.Tiers == nil) {
+	if again && b.spent(now, r) && (p != Copy || b.set.Tiers == nil) {
 		return nil
 	}
 	may := func(s *server) bool {
@@ -639,7 +639,7 @@
 	switch {
 	case s == nil || !again:
 	case b.set.Admission != nil:
-		b.set.Admission.Retried(now)
+		b.set.Admission.Retried(now, r.High)
 	case b.budget >= 1:
 		b.budget--
 	}
@@ -677,7 +677,7 @@
 	if len(b.bySeq) == 0 {
 		return
 	}
-	if !b.spent(now) || b.set.Tiers != nil {
+	if b.set.Admission != nil || b.set.Tiers != nil || b.budget >= 1 {
 		for _, seq := range slices.Sorted(maps.Keys(b.bySeq)) {
 			if r := b.bySeq[seq]; r.out > 0 {
 				b.hedge(now, r)
--- a/logic/tiers.go
+++ b/logic/tiers.go
@@ -80,7 +80,7 @@
 // placed finds a server in a locality that the tiers give.
 func (b *Balancer) placed(now time.Duration, r *request, p Purpose, may func(*server) bool) *server {
 	b.refresh(now)
-	a := Ask{Class: r.Class, Purpose: p, Left: r.deadline - now, Bound: b.bound(r), Draw: b.rng.Float64(), Spent: p == Copy && b.spent(now)}
+	a := Ask{Class: r.Class, Purpose: p, Left: r.deadline - now, Bound: b.bound(r), Draw: b.rng.Float64(), Spent: p == Copy && b.spent(now, r)}
 	if len(r.tries) > 0 {
 		a.From = r.tries[len(r.tries)-1].to.locality()
 	}
