--- a/cmd/robindrum/lab.go
+++ b/cmd/robindrum/lab.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"strings"
 	"text/tabwriter"
 
 	"github.com/spf13/cobra"
@@ -13,39 +14,98 @@
 )
 
 func labCommand() *cobra.Command {
-	c := &cobra.Command{Use: "lab", Short: "Play experiments", Args: noArgs, RunE: func(c *cobra.Command, _ []string) error { return c.Help() },
-		Long: "Play experiments: a fleet, gateways, a load and what happens, from a file, with checks that decide the exit code.\nSo far on simulated time: the same figures on every machine by seed."}
-	c.AddCommand(labRun(), labList())
+	c := &cobra.Command{Use: "lab", Short: "Run experiments", Args: noArgs, RunE: func(c *cobra.Command, _ []string) error { return c.Help() },
+		Long: "Run experiments: a fleet, gateways, a load and what happens, from a file, with checks that decide the exit code.\n" +
+			"--engine sim runs them on simulated time, with the same figures on every machine by seed; --engine loopback runs this\n" +
+			"program as child processes before stand-in servers, in real time."}
+	c.AddCommand(labRun(), labCompare(), labCalibrate(), labList())
 	return c
 }
 
+// engine is how experiments are run.
+type engine struct {
+	name  string
+	seeds int
+}
+
+func (g *engine) flags(c *cobra.Command, seeds int) {
+	c.Flags().StringVar(&g.name, "engine", "sim", "sim or loopback")
+	c.Flags().IntVar(&g.seeds, "seeds", seeds, "how many seeds, from the experiment's own on")
+}
+
+func (g *engine) check() error {
+	if g.seeds < 1 || g.seeds > 1000 {
+		return fmt.Errorf("--seeds wants 1 to 1000, not %d: %w", g.seeds, errUsage)
+	}
+	if g.name != "sim" && g.name != "loopback" {
+		return fmt.Errorf("--engine wants sim or loopback, not %q: %w", g.name, errUsage)
+	}
+	return nil
+}
+
+func (g *engine) run(c *cobra.Command, e *lab.Experiment) (*lab.Report, error) {
+	if g.name == "sim" {
+		return lab.Simulate(e, g.seeds)
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return nil, fmt.Errorf("this program's own file: %w", err)
+	}
+	errs := c.ErrOrStderr()
+	redraw := errs == os.Stderr && terminal(os.Stderr)
+	r, err := lab.Live(c.Context(), e, g.seeds, lab.LiveOptions{Binary: self, Progress: func(p lab.Progress) {
+		line := fmt.Sprintf("%s, seed %d: %v of %v, asked %d, in time %d, late %d, refused %d, failed %d", e.Name, p.Seed, p.At, p.Length, p.Asked, p.InTime, p.Late,
+			p.Refused, p.Failed)
+		if redraw {
+			fmt.Fprintf(errs, "\r\x1b[K%s", line)
+		} else {
+			fmt.Fprintln(errs, line)
+		}
+	}})
+	if redraw {
+		fmt.Fprint(errs, "\r\x1b[K")
+	}
+	return r, err
+}
+
+// exactly is cobra.ExactArgs for this program's exit codes.
+func exactly(n int) cobra.PositionalArgs {
+	return func(c *cobra.Command, args []string) error {
+		if err := cobra.ExactArgs(n)(c, args); err != nil {
+			return fmt.Errorf("%w: %w", err, errUsage)
+		}
+		return nil
+	}
+}
+
 func labRun() *cobra.Command {
-	var seeds int
-	var asJSON bool
-	c := &cobra.Command{Use: "run FILE|NAME", Short: "Play an experiment, from a file or by the name of one that comes with the program",
-		Args: func(c *cobra.Command, args []string) error {
-			if err := cobra.ExactArgs(1)(c, args); err != nil {
-				return fmt.Errorf("%w: %w", err, errUsage)
-			}
-			return nil
-		},
+	var g engine
+	var sets []string
+	var asJSON, asCSV bool
+	var page, plots string
+	c := &cobra.Command{Use: "run FILE|NAME", Short: "Run an experiment, from a file or by the name of one that comes with the program", Args: exactly(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			e, err := experiment(args[0])
+			e, err := experiment(args[0], sets...)
 			if err != nil {
 				return err
 			}
-			if seeds < 1 || seeds > 1000 {
-				return fmt.Errorf("--seeds wants 1 to 1000, not %d: %w", seeds, errUsage)
+			if err := g.check(); err != nil {
+				return err
+			}
+			if asJSON && asCSV {
+				return fmt.Errorf("only one of --json and --csv can be set: %w", errUsage)
 			}
-			r, err := lab.Run(e, seeds)
+			r, err := g.run(c, e)
 			if err != nil {
 				return err
 			}
 			show := r.Print
 			if asJSON {
 				show = r.JSON
+			} else if asCSV {
+				show = r.CSV
 			}
-			if err := show(c.OutOrStdout()); err != nil {
+			if err := errors.Join(show(c.OutOrStdout()), pictures(page, plots, r)); err != nil {
 				return err
 			}
 			if len(r.Broken) > 0 {
@@ -53,19 +113,129 @@
 			}
 			return nil
 		}}
-	c.Flags().IntVar(&seeds, "seeds", 1, "how many seeds, from the experiment's own on")
+	g.flags(c, 1)
+	c.Flags().StringArrayVar(&sets, "set", nil, "change a field, as gateways.admission=off; may stand several times")
+	c.Flags().BoolVar(&asJSON, "json", false, "the whole report, for machines")
+	c.Flags().BoolVar(&asCSV, "csv", false, "the curves over time, for machines")
+	c.Flags().StringVar(&page, "report", "", "write a page of HTML with pictures to this `file`")
+	c.Flags().StringVar(&plots, "plots", "", "write the pictures as PNG and SVG into this `folder`")
+	return c
+}
+
+func pictures(page, plots string, l ...*lab.Report) error {
+	if page != "" {
+		if err := lab.WritePage(page, l...); err != nil {
+			return err
+		}
+	}
+	if plots != "" {
+		return lab.WritePlots(plots, l...)
+	}
+	return nil
+}
+
+func labCompare() *cobra.Command {
+	var g engine
+	var sets [2][]string
+	var asJSON bool
+	var page, plots string
+	c := &cobra.Command{Use: "compare A B", Short: "Run two experiments several times and tell their differences from chance", Args: exactly(2),
+		Long: "Run two experiments, or take two reports of lab run --json, and print medians of both with the difference and its 95%\n" +
+			"confidence interval, by a paired bootstrap over seeds. Where the interval holds 0 there is no difference.",
+		RunE: func(c *cobra.Command, args []string) error {
+			if err := g.check(); err != nil {
+				return err
+			}
+			var l []*lab.Report
+			for i, name := range args {
+				r, err := report(c, &g, name, sets[i])
+				if err != nil {
+					return err
+				}
+				l = append(l, r)
+			}
+			d, err := lab.Compare(l[0], l[1])
+			if err != nil {
+				return err
+			}
+			show := d.Print
+			if asJSON {
+				show = d.JSON
+			}
+			return errors.Join(show(c.OutOrStdout()), pictures(page, plots, l...))
+		}}
+	g.flags(c, 10)
+	c.Flags().StringArrayVar(&sets[0], "a", nil, "change a field of A, as gateways.admission=off; may stand several times")
+	c.Flags().StringArrayVar(&sets[1], "b", nil, "the same of B")
 	c.Flags().BoolVar(&asJSON, "json", false, "for machines")
+	c.Flags().StringVar(&page, "report", "", "write a page of HTML with both laid over each other to this `file`")
+	c.Flags().StringVar(&plots, "plots", "", "write the pictures as PNG and SVG into this `folder`")
+	return c
+}
+
+func labCalibrate() *cobra.Command {
+	var seeds int
+	c := &cobra.Command{Use: "calibrate [FILE|NAME ...]", Short: "Hold the simulated engine against the loopback one; none named: all that come with the program",
+		RunE: func(c *cobra.Command, args []string) error {
+			if len(args) == 0 {
+				args = experiments.Names()
+			}
+			var l []lab.Calibration
+			for _, name := range args {
+				e, err := experiment(name)
+				if err != nil {
+					return err
+				}
+				k := lab.Calibration{Name: e.Name}
+				for _, g := range []engine{{"sim", seeds}, {"loopback", seeds}} {
+					if err := g.check(); err != nil {
+						return err
+					}
+					r, err := g.run(c, e)
+					if err != nil {
+						return err
+					}
+					if g.name == "sim" {
+						k.Simulated = r
+					} else {
+						k.Loopback = r
+					}
+				}
+				l = append(l, k)
+			}
+			return lab.PrintCalibrations(c.OutOrStdout(), l)
+		}}
+	c.Flags().IntVar(&seeds, "seeds", 1, "how many seeds, from the experiment's own on")
 	return c
 }
 
-// experiment reads a file, or one of those that come with the program where there is no such file.
-func experiment(name string) (*lab.Experiment, error) {
-	if text, ok := experiments.Read(name); ok {
-		if _, err := os.Stat(name); err != nil {
-			return lab.Parse(name+".yaml", text)
+// report reads a report, or runs an experiment.
+func report(c *cobra.Command, g *engine, name string, sets []string) (*lab.Report, error) {
+	if strings.HasSuffix(name, ".json") {
+		return lab.ReadReport(name)
+	}
+	e, err := experiment(name, sets...)
+	if err != nil {
+		return nil, err
+	}
+	return g.run(c, e)
+}
+
+// experiment reads a file, or one of those that come with the program where there is no such file, with some fields changed.
+func experiment(name string, sets ...string) (*lab.Experiment, error) {
+	text, shipped := experiments.Read(name)
+	path := name + ".yaml"
+	if _, err := os.Stat(name); !shipped || err == nil {
+		if text, err = os.ReadFile(name); err != nil {
+			return nil, fmt.Errorf("reading the experiment: %w", err)
 		}
+		path = name
+	}
+	text, err := lab.Override(text, sets...)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", err, errUsage)
 	}
-	return lab.Open(name)
+	return lab.Parse(path, text)
 }
 
 func labList() *cobra.Command {
--- a/cmd/robindrum/serve.go
+++ b/cmd/robindrum/serve.go
@@ -33,15 +33,28 @@
 
 func serveCommand() *cobra.Command {
 	var path string
+	var parent bool
 	c := &cobra.Command{Use: "serve -c FILE", Short: "Run the gateway", Args: noArgs,
 		Long: "Run the gateway until SIGTERM or an interrupt, then answer what is in hand.\nSIGHUP takes over the file anew; one that cannot be used changes nothing and shows in /status.",
 		RunE: func(c *cobra.Command, _ []string) error {
 			hup := make(chan os.Signal, 1)
 			signal.Notify(hup, syscall.SIGHUP)
 			defer signal.Stop(hup)
-			return serve(c.Context(), path, hup, c.ErrOrStderr())
+			ctx := c.Context()
+			if parent {
+				var cancel context.CancelFunc
+				ctx, cancel = context.WithCancel(ctx)
+				defer cancel()
+				go func() {
+					_, _ = io.Copy(io.Discard, c.InOrStdin())
+					cancel()
+				}()
+			}
+			return serve(ctx, path, hup, c.ErrOrStderr())
 		}}
 	c.Flags().StringVarP(&path, "config", "c", "", "the configuration `file`")
+	c.Flags().BoolVar(&parent, "with-parent", false, "end, as with SIGTERM, when standard input ends")
+	must(c.Flags().MarkHidden("with-parent"))
 	must(c.MarkFlagRequired("config"))
 	return c
 }
--- a/internal/config/decode.go
+++ b/internal/config/decode.go
@@ -184,11 +184,11 @@
 		d.bad(n, path, "want fields")
 		return
 	}
-	fields := map[string]int{}
-	for i := range v.NumField() {
-		name, _, _ := strings.Cut(v.Type().Field(i).Tag.Get("yaml"), ",")
+	fields := map[string][]int{}
+	for _, f := range reflect.VisibleFields(v.Type()) { // with those of embedded structs, as yaml's inline
+		name, _, _ := strings.Cut(f.Tag.Get("yaml"), ",")
 		if name != "" && name != "-" {
-			fields[name] = i
+			fields[name] = f.Index
 		}
 	}
 	seen := map[string]bool{}
@@ -203,7 +203,7 @@
 			d.bad(k, name, "stands twice")
 		default:
 			seen[k.Value] = true
-			d.value(n.Content[i+1], name, v.Field(f))
+			d.value(n.Content[i+1], name, v.FieldByIndex(f))
 		}
 	}
 }
--- /dev/null
+++ b/internal/lab/calibrate.go
@@ -0,0 +1,88 @@
+package lab
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"text/tabwriter"
+)
+
+// Calibration holds the simulated engine against the loopback one on the same experiment and seeds.
+type Calibration struct {
+	Name      string
+	Simulated *Report
+	Loopback  *Report
+}
+
+// Figure is one row of a calibration.
+type Figure struct {
+	Name            string
+	Simulated, Live float64
+	// Error is that of the simulated one: relative, or, for parts and percentiles near 0, the difference.
+	Error float64
+	// Within is that throughput and service are within 10%. Other figures are shown and not judged.
+	Judged, Within bool
+}
+
+func (r *Report) all() (o Outcome) {
+	for i := range r.Phases {
+		o.merge(&r.Phases[i].All)
+	}
+	o.finish()
+	return o
+}
+
+// Figures are the rows.
+func (c *Calibration) Figures() []Figure {
+	s, l := c.Simulated.all(), c.Loopback.all()
+	per := func(r *Report, o *Outcome) float64 {
+		return float64(o.InTime) / r.Length.Seconds() / float64(max(r.Seeds, 1))
+	}
+	row := func(name string, sim, live float64, judged, relative bool) Figure {
+		f := Figure{Name: name, Simulated: sim, Live: live, Error: sim - live, Judged: judged}
+		if relative && live != 0 {
+			f.Error = sim/live - 1
+		}
+		f.Within = math.Abs(f.Error) <= 0.1
+		return f
+	}
+	return []Figure{
+		row("in time a second", per(c.Simulated, &s), per(c.Loopback, &l), true, true),
+		row("in time", s.part(s.InTime), l.part(l.InTime), true, false),
+		row("refused or failed", s.part(s.Refused+s.Failed+s.Lost), l.part(l.Refused+l.Failed+l.Lost), true, false),
+		row("p50 ms", ms(s.P50), ms(l.P50), false, true),
+		row("p99 ms", ms(s.P99), ms(l.P99), false, true),
+		row("busiest server", c.Simulated.busiest(), c.Loopback.busiest(), false, true),
+	}
+}
+
+// PrintCalibrations writes calibrations as a table of Markdown, and says how many of the judged figures are within 10%.
+func PrintCalibrations(out io.Writer, l []Calibration) error {
+	t := tabwriter.NewWriter(out, 0, 0, 1, ' ', tabwriter.Debug)
+	fmt.Fprintln(t, " experiment\t figure\t simulated\t loopback\t error\t ")
+	fmt.Fprintln(t, " ---\t ---\t ---\t ---\t ---\t ---")
+	judged, within := 0, 0
+	for _, c := range l {
+		for _, f := range c.Figures() {
+			note := ""
+			if f.Judged {
+				if judged++; f.Within {
+					within++
+				} else {
+					note = "beyond 10%"
+				}
+			}
+			fmt.Fprintf(t, " %s\t %s\t %.4g\t %.4g\t %+.1f%%\t %s\n", c.Name, f.Name, f.Simulated, f.Live, 100*f.Error, note)
+		}
+	}
+	if err := t.Flush(); err != nil {
+		return fmt.Errorf("writing the calibration: %w", err)
+	}
+	fmt.Fprintf(out, "%d of %d figures of throughput and service within 10%%\n", within, judged)
+	for _, c := range l {
+		if g := c.Loopback.Generator; g.Bottleneck || c.Loopback.Ended != "" {
+			fmt.Fprintf(out, "%s: %s %s\n", c.Name, g, c.Loopback.Ended)
+		}
+	}
+	return nil
+}
--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -1,6 +1,7 @@
-// Package lab plays experiments: a fleet of servers, the gateways before it, a load, what happens meanwhile and what is
-// expected of it, all from one strict file. So far the simulated engine plays them: whole decision modules, zones and
-// admission on simulated time, with the same figures on every machine by seed.
+// Package lab runs experiments: a fleet of servers, the gateways before it, a load, what happens meanwhile and what is
+// expected of it, all from one strict file. Two engines run the same file and give the same report: the simulated one has
+// whole decision modules, zones and admission on simulated time, with the same figures on every machine by seed; the
+// loopback one has the real program as child processes, servers that behave as the simulated ones do, and real time.
 package lab
 
 import (
@@ -10,6 +11,7 @@
 	"slices"
 	"time"
 
+	"arrowhitch/internal/capture"
 	"arrowhitch/internal/config"
 	"arrowhitch/logic"
 )
@@ -27,21 +29,58 @@
 	Phases   []config.Duration `yaml:"phases"` // where one ends and the next begins; the last one ends with the load
 	Events   []Event           `yaml:"events"`
 	Checks   []Check           `yaml:"checks"`
+
+	trace *trace
 }
 
-// Fleet is the servers, alike in all zones.
+// Fleet is the servers: alike in all zones, or in groups.
 type Fleet struct {
-	Zones   []string        `yaml:"zones"`
-	Servers int             `yaml:"servers"` // in each zone
-	Workers int             `yaml:"workers"` // of a server
-	Queue   int             `yaml:"queue"`   // requests a server holds beside those its workers have, before it turns away
-	Service config.Duration `yaml:"service"` // mean of a request, exponentially distributed
+	Zones   []string `yaml:"zones"`
+	Servers int      `yaml:"servers"` // in each zone
+	Groups  []Group  `yaml:"groups"`  // in place of servers; each of them in one zone
+	Workers int      `yaml:"workers"` // of a server
+	Queue   int      `yaml:"queue"`   // requests a server holds beside those its workers have, before it turns away
+	Time    `yaml:",inline"`
+	Link    Link            `yaml:"link"`
 	WarmUp  config.Duration `yaml:"warm_up"`
 	Share   float64         `yaml:"warm_share"` // of its speed that a cold server begins with
 	Fall    float64         `yaml:"fall"`       // multiple of its warm-up capacity over a second at which it falls over
 	Cross   config.Duration `yaml:"cross"`      // round trip to another zone; within one it is an eighth of that
 }
 
+// Group is servers that are alike.
+type Group struct {
+	Zone      string     `yaml:"zone"`
+	Servers   int        `yaml:"servers"`
+	Workers   int        `yaml:"workers"`
+	Queue     int        `yaml:"queue"`
+	Speed     float64    `yaml:"speed"` // 1 is the speed that service times are told for
+	Neighbour *Neighbour `yaml:"neighbour,omitempty"`
+}
+
+// Neighbour is another program on the same machines, which takes a part of their speed while it works.
+type Neighbour struct {
+	From  config.Duration `yaml:"from"`
+	Every config.Duration `yaml:"every"` // 0: it works from From on
+	Lasts config.Duration `yaml:"lasts"` // of each time
+	Takes float64         `yaml:"takes"` // part of the speed
+}
+
+// Time is how long a server at its full speed takes for a request.
+type Time struct {
+	Service      config.Duration `yaml:"service"` // mean
+	Distribution string          `yaml:"distribution"`
+	Variation    float64         `yaml:"variation"` // of a lognormal one: standard deviation over mean
+}
+
+// Link is between gateways and servers, beside the round trip to another zone.
+type Link struct {
+	Delay     config.Duration `yaml:"delay"`     // each way
+	Jitter    config.Duration `yaml:"jitter"`    // mean of what is added to it
+	Loss      float64         `yaml:"loss"`      // of answers: the connection breaks in place of one
+	Bandwidth config.Size     `yaml:"bandwidth"` // bytes a second of one answer; 0: no bound
+}
+
 // Gateways are those before the fleet; they stand in the zones in turn and share nothing.
 type Gateways struct {
 	Number    int    `yaml:"number"`
@@ -52,29 +91,50 @@
 
 // Class is a kind of request.
 type Class struct {
-	Name     string          `yaml:"name"`
-	Part     float64         `yaml:"part"` // of the load
-	Wanted   config.Duration `yaml:"wanted"`
-	Deadline config.Duration `yaml:"deadline"`
-	Worth    float64         `yaml:"worth"`
-	Effect   config.Effect   `yaml:"effect"`
-	Group    config.Group    `yaml:"group"`
-	Window   config.Duration `yaml:"window"`
+	Name     string           `yaml:"name"`
+	Part     float64          `yaml:"part"` // of the load
+	Wanted   config.Duration  `yaml:"wanted"`
+	Deadline config.Duration  `yaml:"deadline"`
+	Worth    float64          `yaml:"worth"`
+	Effect   config.Effect    `yaml:"effect"`
+	Group    config.Group     `yaml:"group"`
+	Window   config.Duration  `yaml:"window"`
+	Time     `yaml:",inline"` // where it is not the fleet's
+	Answer   config.Size      `yaml:"answer"` // bytes
 }
 
-// Load is an open loop: arrivals do not wait for answers.
+// Load is an open loop, in which arrivals do not wait for answers, and beside it clients who do.
 type Load struct {
-	Rate   float64 `yaml:"rate"`  // requests a second over all gateways, Poisson
-	Times  []Times `yaml:"times"` // spans in which it is a multiple of that
-	Bursts []Burst `yaml:"bursts"`
-	Again  string  `yaml:"again"` // what a client does that is refused: gives_up, at_once or heeds
+	Rate     float64         `yaml:"rate"`     // requests a second over all gateways
+	Arrivals string          `yaml:"arrivals"` // poisson or constant
+	Times    []Times         `yaml:"times"`    // spans in which it is a multiple of that
+	OnOff    *OnOff          `yaml:"on_off,omitempty"`
+	Bursts   []Burst         `yaml:"bursts"`
+	Clients  int             `yaml:"clients"` // that ask one request after the other
+	Think    config.Duration `yaml:"think"`   // mean pause of theirs
+	Keys     *Keys           `yaml:"keys,omitempty"`
+	Trace    *Trace          `yaml:"trace,omitempty"`
+	Again    string          `yaml:"again"` // what a client does that is refused: gives_up, at_once or heeds
 }
 
 // Times multiplies the rate for a while; where spans overlap the last one counts.
 type Times struct {
-	From config.Duration `yaml:"from"`
-	To   config.Duration `yaml:"to"`
-	By   float64         `yaml:"by"`
+	From  config.Duration `yaml:"from"`
+	To    config.Duration `yaml:"to"`
+	By    float64         `yaml:"by"`
+	Until *float64        `yaml:"until,omitempty"` // a ramp: the multiple goes from By to it
+}
+
+// OnOff has the rate come and go.
+type OnOff struct {
+	On  config.Duration `yaml:"on"`
+	Off config.Duration `yaml:"off"`
+}
+
+// Keys are whose requests they are, with a Zipf spread: the first ones ask most.
+type Keys struct {
+	Number   int     `yaml:"number"`
+	Exponent float64 `yaml:"exponent"`
 }
 
 // Burst is so many requests at the same moment.
@@ -87,13 +147,16 @@
 // Event is something that happens to a zone.
 type Event struct {
 	At      config.Duration `yaml:"at"`
-	Do      string          `yaml:"do"` // kill, revive, slow
+	Do      string          `yaml:"do"` // kill, revive, slow, drain, undrain, flap, push, away, back
 	Zone    string          `yaml:"zone"`
 	How     string          `yaml:"how"`     // kill: refuses, silent, says_503, resets or loses
-	Part    float64         `yaml:"part"`    // kill: of the zone's servers; 1
+	Part    float64         `yaml:"part"`    // kill, drain: of the zone's servers; 1
 	Renamed int             `yaml:"renamed"` // revive: so many come under new ids
-	Late    config.Duration `yaml:"late"`    // revive: until the list tells of it
+	Late    config.Duration `yaml:"late"`    // revive, drain, undrain: until the list tells of it
 	By      float64         `yaml:"by"`      // slow: everything takes so many times as long
+	Every   config.Duration `yaml:"every"`   // flap: from one kill to the next
+	Down    config.Duration `yaml:"down"`    // flap: until it is revived
+	Count   int             `yaml:"count"`   // flap
 }
 
 // Check is what is expected of a phase and a class, over all seeds. That no request is lost and no effect taken twice is
@@ -116,6 +179,7 @@
 	mostViews    = 200_000 // servers times gateways
 	mostEvents   = 1_000
 	mostLength   = time.Hour
+	mostSeeds    = 1000
 )
 
 // Load reads and checks a file.
@@ -129,13 +193,37 @@
 
 // Parse checks an experiment's text and fills in what was left out. The error is of type config.Errors.
 func Parse(path string, text []byte) (*Experiment, error) {
+	return parse(path, text, true)
+}
+
+// OpenFleet reads an experiment that may have no load.
+func OpenFleet(path string) (*Experiment, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("reading the fleet: %w", err)
+	}
+	return parse(path, text, false)
+}
+
+func parse(path string, text []byte, load bool) (*Experiment, error) {
 	e := &Experiment{}
 	s := config.ReadStrict(path, text, e)
 	if err := s.Err(); err != nil {
 		return nil, err
 	}
+	var captured *capture.Capture
+	if e.Load.Trace != nil {
+		if captured = e.openTrace(s, path); captured == nil {
+			return nil, s.Err()
+		}
+	}
 	e.fill()
-	e.check(s)
+	e.check(s, load)
+	if captured != nil && s.Err() == nil {
+		if err := e.replay(captured, e.Load.Trace); err != nil {
+			s.Bad("load.trace", "%v", err)
+		}
+	}
 	if err := s.Err(); err != nil {
 		return nil, err
 	}
@@ -173,6 +261,21 @@
 	number(&f.Workers, 4)
 	number(&f.Queue, 100)
 	or(&f.Service, 20*time.Millisecond)
+	text(&f.Distribution, "exponential")
+	real(&f.Variation, 1)
+	if len(f.Groups) == 0 {
+		for _, z := range f.Zones {
+			f.Groups = append(f.Groups, Group{Zone: z, Servers: f.Servers})
+		}
+	}
+	for i := range f.Groups {
+		g := &f.Groups[i]
+		text(&g.Zone, f.Zones[0])
+		number(&g.Servers, f.Servers)
+		number(&g.Workers, f.Workers)
+		number(&g.Queue, f.Queue)
+		real(&g.Speed, 1)
+	}
 	or(&f.WarmUp, 10*time.Second)
 	real(&f.Share, 0.2)
 	real(&f.Fall, 2.5)
@@ -182,6 +285,19 @@
 	text(&g.Admission, "adaptive")
 	number(&g.Limit, 1024)
 	text(&e.Load.Again, "gives_up")
+	text(&e.Load.Arrivals, "poisson")
+	if e.Load.Clients > 0 {
+		or(&e.Load.Think, 100*time.Millisecond)
+	}
+	if t := e.Load.Trace; t != nil {
+		real(&t.Speed, 1)
+		real(&t.By, 1)
+		text(&t.Unknown, "refuse")
+	}
+	if k := e.Load.Keys; k != nil {
+		number(&k.Number, 1000)
+		real(&k.Exponent, 1.1)
+	}
 	for i := range e.Classes {
 		c := &e.Classes[i]
 		or(&c.Wanted, time.Second)
@@ -192,12 +308,23 @@
 	if len(e.Classes) == 0 {
 		e.Classes = []Class{{Name: config.DefaultSafe, Part: 1, Wanted: config.Duration(time.Second), Deadline: config.Duration(15 * time.Second), Worth: 1}}
 	}
+	for i := range e.Classes {
+		c := &e.Classes[i]
+		or(&c.Service, f.Service.D())
+		text(&c.Distribution, f.Distribution)
+		real(&c.Variation, f.Variation)
+	}
 	for i := range e.Events {
-		real(&e.Events[i].Part, 1)
+		v := &e.Events[i]
+		if real(&v.Part, 1); v.Do == "flap" {
+			or(&v.Every, 2*time.Second)
+			or(&v.Down, v.Every.D()/2)
+			number(&v.Count, 1)
+		}
 	}
 }
 
-func (e *Experiment) check(s *config.Strict) {
+func (e *Experiment) check(s *config.Strict, load bool) {
 	between := func(field string, v, least, most float64) {
 		if !(v >= least && v <= most) {
 			s.Bad(field, "want %v to %v, not %v", least, most, v)
@@ -227,19 +354,22 @@
 	between("fleet.servers", float64(f.Servers), 1, mostServers)
 	between("fleet.workers", float64(f.Workers), 1, 1e6)
 	between("fleet.queue", float64(f.Queue), 0, 1e6)
-	between("fleet.service", f.Service.D().Seconds(), 1e-5, 600)
 	between("fleet.warm_share", f.Share, 0.01, 1)
 	between("fleet.fall", f.Fall, 1, 1e6)
 	between("gateways.number", float64(g.Number), 1, mostGateways)
 	between("gateways.limit", float64(g.Limit), 1, 1e6)
 	oneOf("gateways.zones", g.Zones, zoneModes)
 	oneOf("gateways.admission", g.Admission, admissions)
-	servers := float64(f.Servers) * float64(len(f.Zones))
+	e.checkFleet(s, between, oneOf)
+	servers := 0.0
+	for _, g := range f.Groups {
+		servers += float64(g.Servers)
+	}
 	if servers > mostServers || servers*float64(g.Number) > mostViews {
 		s.Bad("fleet", "%.0f servers before %d gateways: %d at most, and %d together", servers, g.Number, mostServers, mostViews)
 	}
 	e.checkClasses(s, between)
-	e.checkLoad(s, between, oneOf)
+	e.checkLoad(s, load, between, oneOf)
 	last := time.Duration(0)
 	for i, p := range e.Phases {
 		if p.D() <= last || p.D() >= e.Length.D() {
@@ -254,6 +384,38 @@
 	e.checkChecks(s, between)
 }
 
+func (t *Time) check(field string, between func(string, float64, float64, float64), oneOf func(string, string, []string)) {
+	between(field+"service", t.Service.D().Seconds(), 1e-5, 600)
+	oneOf(field+"distribution", t.Distribution, distributions)
+	between(field+"variation", t.Variation, 0.01, 10)
+}
+
+func (e *Experiment) checkFleet(s *config.Strict, between func(string, float64, float64, float64), oneOf func(string, string, []string)) {
+	f := &e.Fleet
+	f.check("fleet.", between, oneOf)
+	for i, g := range f.Groups {
+		at := fmt.Sprintf("fleet.groups[%d].", i)
+		oneOf(at+"zone", g.Zone, f.Zones)
+		between(at+"servers", float64(g.Servers), 1, mostServers)
+		between(at+"workers", float64(g.Workers), 1, 1e6)
+		between(at+"queue", float64(g.Queue), 0, 1e6)
+		between(at+"speed", g.Speed, 0.01, 100)
+		if n := g.Neighbour; n != nil {
+			between(at+"neighbour.takes", n.Takes, 0, 0.99)
+			if n.Every > 0 && (n.Lasts == 0 || n.Lasts > n.Every) {
+				s.Bad(at+"neighbour.lasts", "want more than 0 and no more than every, %v, not %v", n.Every.D(), n.Lasts.D())
+			}
+		}
+	}
+	between("fleet.link.loss", f.Link.Loss, 0, 0.9)
+	between("fleet.link.delay", f.Link.Delay.D().Seconds(), 0, 10)
+	between("fleet.link.jitter", f.Link.Jitter.D().Seconds(), 0, 10)
+	for i := range e.Classes {
+		e.Classes[i].check(fmt.Sprintf("classes[%d].", i), between, oneOf)
+		between(fmt.Sprintf("classes[%d].answer", i), float64(e.Classes[i].Answer), 0, 16<<20)
+	}
+}
+
 func (e *Experiment) checkClasses(s *config.Strict, between func(string, float64, float64, float64)) {
 	sum, names := 0.0, map[string]bool{}
 	for i, c := range e.Classes {
@@ -277,7 +439,7 @@
 	}
 }
 
-func (e *Experiment) checkLoad(s *config.Strict, between func(string, float64, float64, float64), oneOf func(string, string, []string)) {
+func (e *Experiment) checkLoad(s *config.Strict, load bool, between func(string, float64, float64, float64), oneOf func(string, string, []string)) {
 	l := &e.Load
 	oneOf("load.again", l.Again, agains)
 	between("load.rate", l.Rate, 0, 1e6)
@@ -287,12 +449,25 @@
 			s.Bad(field, "from %v to %v", t.From.D(), t.To.D())
 		}
 		between(field+".by", t.By, 0, 1e6)
+		if t.Until != nil {
+			between(field+".until", *t.Until, 0, 1e6)
+		}
+	}
+	oneOf("load.arrivals", l.Arrivals, []string{"poisson", "constant"})
+	between("load.clients", float64(l.Clients), 0, 100_000)
+	if o := l.OnOff; o != nil && (o.On < config.Duration(10*time.Millisecond) || o.Off < config.Duration(10*time.Millisecond)) {
+		s.Bad("load.on_off", "want 10ms at least of both, not %v and %v", o.On.D(), o.Off.D())
+		return
+	}
+	if k := l.Keys; k != nil {
+		between("load.keys.number", float64(k.Number), 1, 1e6)
+		between("load.keys.exponent", k.Exponent, 1.001, 10)
 	}
 	if len(l.Times) > mostEvents || len(l.Bursts) > mostEvents {
 		s.Bad("load", "%d at most of times and of bursts", mostEvents)
 		return
 	}
-	requests := 0.0
+	requests := float64(l.Clients) * e.Length.D().Seconds() / max((l.Think.D()+time.Millisecond).Seconds(), 1e-3)
 	for i, b := range l.Bursts {
 		field := fmt.Sprintf("load.bursts[%d]", i)
 		between(field+".size", float64(b.Size), 1, 1e6)
@@ -310,10 +485,21 @@
 	for at := time.Duration(0); at < e.Length.D(); at += step {
 		requests += e.rate(at) * step.Seconds()
 	}
+	if p := e.peak(); p*e.Length.D().Seconds() > 20*mostRequests {
+		s.Bad("load.times", "a peak of %.0f requests a second over %v, %d requests at most", p, e.Length.D(), 20*mostRequests)
+		return
+	}
 	if requests > mostRequests {
 		s.Bad("load", "%.0f requests, %d at most", requests, mostRequests)
 	}
-	if requests < 1 {
+	if t := l.Trace; t != nil {
+		between("load.trace.speed", t.Speed, 0.01, 100)
+		between("load.trace.by", t.By, 0.001, 1000)
+		oneOf("load.trace.unknown", t.Unknown, []string{"refuse", "drop"})
+		if l.Rate > 0 || len(l.Bursts) > 0 {
+			s.Bad("load.trace", "takes the place of rate and bursts")
+		}
+	} else if requests < 1 && load {
 		s.Bad("load", "asks for nothing")
 	}
 }
@@ -323,9 +509,14 @@
 	by := 1.0
 	for _, t := range e.Load.Times {
 		if at >= t.From.D() && at < t.To.D() {
-			by = t.By
+			if by = t.By; t.Until != nil {
+				by += (*t.Until - t.By) * float64(at-t.From.D()) / float64(t.To-t.From)
+			}
 		}
 	}
+	if o := e.Load.OnOff; o != nil && at%(o.On.D()+o.Off.D()) >= o.On.D() {
+		return 0
+	}
 	return e.Load.Rate * by
 }
 
@@ -339,26 +530,38 @@
 		if v.At >= e.Length {
 			s.Bad(field+".at", "%v is not before the end, %v", v.At.D(), e.Length.D())
 		}
-		oneOf(field+".zone", v.Zone, e.Fleet.Zones)
-		oneOf(field+".do", v.Do, deeds)
+		if oneOf(field+".do", v.Do, deeds); v.Do != "push" && v.Do != "away" && v.Do != "back" {
+			oneOf(field+".zone", v.Zone, e.Fleet.Zones)
+		}
 		between(field+".part", v.Part, 0, 1)
 		switch {
-		case v.Do == "kill":
+		case v.Do == "kill", v.Do == "flap":
 			if _, ok := hows[v.How]; !ok {
 				s.Bad(field+".how", "want refuses, silent, says_503, resets or loses, not %q", v.How)
 			}
 		case v.How != "":
-			s.Bad(field+".how", "is for kill")
+			s.Bad(field+".how", "is for kill and flap")
 		}
 		if v.Do == "slow" {
 			between(field+".by", v.By, 0.001, 1000)
 		} else if v.By != 0 {
 			s.Bad(field+".by", "is for slow")
 		}
-		if v.Do != "revive" && (v.Renamed != 0 || v.Late != 0) {
-			s.Bad(field, "renamed and late are for revive")
+		if v.Renamed != 0 && v.Do != "revive" {
+			s.Bad(field+".renamed", "is for revive")
+		}
+		if v.Late != 0 && v.Do != "revive" && v.Do != "drain" && v.Do != "undrain" {
+			s.Bad(field+".late", "is for revive, drain and undrain")
+		}
+		between(field+".renamed", float64(v.Renamed), 0, mostServers)
+		if v.Do == "flap" {
+			between(field+".count", float64(v.Count), 1, mostEvents)
+			if v.Down >= v.Every {
+				s.Bad(field+".down", "want less than every, %v, not %v", v.Every.D(), v.Down.D())
+			}
+		} else if v.Every != 0 || v.Down != 0 || v.Count != 0 {
+			s.Bad(field, "every, down and count are for flap")
 		}
-		between(field+".renamed", float64(v.Renamed), 0, float64(e.Fleet.Servers))
 	}
 }
 
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -22,7 +22,7 @@
 		small + "fleet: {servers: 3000}\n":                          "fleet.servers: want 1 to 2000",
 		small + "fleet: {servers: 1000}\ngateways: {number: 300}\n": "fleet: 1000 servers before 300 gateways",
 		small + "fleet: {zones: [a, a]}\n":                          `fleet.zones[1]: "a" is empty or stands twice`,
-		"name: a\nlength: 1h\nload: {rate: 1000000}\n":              "load: 3600000000 requests, 5000000 at most",
+		"name: a\nlength: 1h\nload: {rate: 1000000}\n":              "load.times: a peak of 1000000 requests a second over 1h0m0s, 100000000 requests at most",
 		"name: a\nload: {bursts: [{every: 1ms, size: 1000000}]}\n":  "requests, 5000000 at most",
 		"name: a\nload: {bursts: [{every: 1us, size: 1}]}\n":        "load.bursts[0].every: want 1ms at least",
 		"name: a\n":                                "load: asks for nothing",
@@ -59,7 +59,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r, err := Run(e, seeds)
+	r, err := Simulate(e, seeds)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -121,7 +121,7 @@
 			if e.Name != name || e.About == "" || len(e.Checks) == 0 {
 				t.Errorf("%+v", e)
 			}
-			r, err := Run(e, 1)
+			r, err := Simulate(e, 1)
 			if err != nil {
 				t.Fatal(err)
 			}
--- /dev/null
+++ b/internal/lab/plan.go
@@ -0,0 +1,480 @@
+package lab
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"arrowhitch/internal/capture"
+	"arrowhitch/internal/config"
+)
+
+// Goal is what a class is to get: this part of its requests served in time.
+type Goal struct {
+	Class  string  `json:"class"` // empty: all together
+	InTime float64 `json:"in_time"`
+}
+
+// ParseGoal reads "seat-hold=0.99", or "0.99" for all classes together.
+func ParseGoal(text string) (g Goal, err error) {
+	name, number, ok := strings.Cut(text, "=")
+	if !ok {
+		name, number = "", text
+	}
+	g.Class = name
+	if _, err = fmt.Sscanf(number, "%g", &g.InTime); err != nil || !(g.InTime > 0 && g.InTime < 1) {
+		return g, fmt.Errorf("goal %q: want CLASS=PART, the part above 0 and below 1, as seat-hold=0.99", text)
+	}
+	return g, nil
+}
+
+func (g Goal) String() string {
+	return fmt.Sprintf("%s %.4g in time", cmp.Or(g.Class, "all classes"), g.InTime)
+}
+
+// PlanOptions are what a plan is asked for.
+type PlanOptions struct {
+	Goals []Goal
+	Rate  float64 // requests a second to plan for; 0: the capture's
+	Seeds int     // of each simulation; 0: 3
+}
+
+// Plan is what came of it. Rates are in requests a second.
+type Plan struct {
+	Fleet       string       `json:"fleet"`
+	Goals       []Goal       `json:"goals"`
+	Rate        float64      `json:"rate"`
+	Servers     int          `json:"servers"`
+	Capacity    float64      `json:"capacity"`        // what the fleet's workers can do, by their service times
+	ByWork      int          `json:"servers_by_work"` // that the work alone needs at the rate
+	Breaks      Estimate     `json:"breaks_at"`       // the rate beyond which a goal is not met
+	BreaksFirst string       `json:"breaks_first"`    // that goal, and what was seen
+	Needed      Estimate     `json:"servers_needed"`  // for the goals at the rate
+	Losses      []Loss       `json:"losses"`
+	Assumptions []string     `json:"assumptions"`
+	Confirmed   []Confirming `json:"confirmed,omitempty"`
+
+	e *Experiment
+	c *capture.Capture
+}
+
+// Estimate is a figure of several seeds.
+type Estimate struct {
+	Median float64 `json:"median"`
+	Low    float64 `json:"low"`
+	High   float64 `json:"high"`
+	// Beyond is that it is above what was looked at.
+	Beyond bool `json:"beyond,omitempty"`
+}
+
+func (e Estimate) String() string {
+	if e.Beyond {
+		return fmt.Sprintf("above %.4g", e.High)
+	}
+	if e.Low == e.High {
+		return fmt.Sprintf("%.4g", e.Median)
+	}
+	return fmt.Sprintf("%.4g (%.4g to %.4g)", e.Median, e.Low, e.High)
+}
+
+// Loss is what becomes of the load when a zone goes, from 3 s after it on.
+type Loss struct {
+	Zone   string   `json:"zone"`
+	InTime Estimate `json:"in_time"` // of all requests
+	Holds  bool     `json:"holds"`   // the goals, with every seed
+	Missed string   `json:"missed,omitempty"`
+}
+
+// Confirming is a prediction held against a run over loopback.
+type Confirming struct {
+	Rate        float64 `json:"rate"`
+	Predicted   float64 `json:"predicted"` // requests in time a second
+	Measured    float64 `json:"measured"`
+	PredictedIn float64 `json:"predicted_in_time"` // part of what was asked
+	MeasuredIn  float64 `json:"measured_in_time"`
+	Error       float64 `json:"error"` // of Predicted
+	Note        string  `json:"note,omitempty"`
+}
+
+// What a capture must hold to plan from it.
+const (
+	fewestPlanned  = 500
+	shortestToPlan = 10 * time.Second
+	planLength     = 40 * time.Second // of a simulation
+	planHead       = 5 * time.Second  // in which gateways learn; it does not count
+)
+
+// MakePlan answers what breaks first and at which rate, how many servers the goals need, and what the loss of each zone does.
+// fleet is an experiment, whose load does not count. An error says why there is no answer: a capture too short to tell, or
+// goals that no number of servers meets.
+func MakePlan(fleet *Experiment, c *capture.Capture, o PlanOptions) (*Plan, error) {
+	o.Seeds = cmp.Or(o.Seeds, 3)
+	e := *fleet
+	e.Load = Load{Arrivals: "poisson", Again: fleet.Load.Again}
+	e.Events, e.Checks, e.trace = nil, nil, nil
+	if len(o.Goals) == 0 {
+		o.Goals = []Goal{{InTime: 0.99}}
+	}
+	for _, g := range o.Goals {
+		if g.Class != "" && !slices.ContainsFunc(e.Classes, func(k Class) bool { return k.Name == g.Class }) {
+			return nil, fmt.Errorf("goal %v: there is no class %q in %s", g, g.Class, e.Name)
+		}
+	}
+	if c.Length < shortestToPlan || len(c.Records) < fewestPlanned {
+		return nil, fmt.Errorf("the capture is too short to tell: %d requests over %v; want %d over %v at least", len(c.Records), c.Length.Round(time.Millisecond),
+			fewestPlanned, shortestToPlan)
+	}
+	p := &Plan{Fleet: e.Name, Goals: o.Goals, e: &e, c: busiest(c, planLength)}
+	window := Fit(p.c)
+	if p.Rate = o.Rate; p.Rate == 0 {
+		p.Rate = window.Rate
+	}
+	if err := p.mix(); err != nil {
+		return nil, err
+	}
+	if err := p.possible(); err != nil {
+		return nil, err
+	}
+	for _, g := range e.Fleet.Groups {
+		p.Servers += g.Servers
+	}
+	p.Capacity = e.capacity()
+	p.ByWork = max(int(math.Ceil(p.Rate/(p.Capacity/float64(p.Servers)))), 1)
+	p.Assumptions = []string{
+		fmt.Sprintf("the load comes as in the busiest %v of the capture (burstiness %.2f, 1 is a Poisson load), its rate multiplied; the mix of classes stays",
+			p.c.Length.Round(time.Second), window.Burstiness),
+		"service times, speeds and workers are those of the fleet's file; nothing else is the bottleneck (network, gateways' processors)",
+		"more servers are more of the same kinds, in the same proportions",
+		fmt.Sprintf("the first %v of each run do not count: gateways have learnt", planHead),
+	}
+	if c.Missed > 0 {
+		p.Assumptions = append(p.Assumptions, fmt.Sprintf("the capture missed %d requests: the real load is higher", c.Missed))
+	}
+	if err := p.breaks(o.Seeds, window.Rate); err != nil {
+		return nil, err
+	}
+	if err := p.needs(o.Seeds, window.Rate); err != nil {
+		return nil, err
+	}
+	return p, p.losses(o.Seeds, window.Rate)
+}
+
+// busiest is the part of a capture of that length with the most requests.
+func busiest(c *capture.Capture, length time.Duration) *capture.Capture {
+	if c.Length <= length {
+		return c
+	}
+	best, n, from := 0, 0, 0
+	for to := range c.Records {
+		for c.Records[to].Came()-c.Records[from].Came() >= length {
+			from++
+		}
+		if to-from+1 > n {
+			best, n = from, to-from+1
+		}
+	}
+	w := *c
+	w.Records, w.Length = slices.Clone(c.Records[best:best+n]), length
+	first := w.Records[0].At
+	for i := range w.Records {
+		w.Records[i].At -= first
+	}
+	return &w
+}
+
+// mix takes the classes' parts over from the capture.
+func (p *Plan) mix() error {
+	n, all := map[string]float64{}, 0.0
+	for _, r := range p.c.Records {
+		n[r.Class]++
+		all++
+	}
+	p.e.Classes = slices.Clone(p.e.Classes)
+	for i := range p.e.Classes {
+		k := &p.e.Classes[i]
+		k.Part = n[k.Name] / all
+		delete(n, k.Name)
+	}
+	for name, k := range n {
+		return fmt.Errorf("the capture has %.0f requests of class %q, which %s has not: add it, with its service time", k, name, p.e.Name)
+	}
+	return nil
+}
+
+// possible says whether any number of servers meets the goals: a request alone at a server must be in time often enough.
+func (p *Plan) possible() error {
+	rng := rand.New(rand.NewPCG(1, 0x706c616e))
+	fastest := 0.0
+	for _, g := range p.e.Fleet.Groups {
+		fastest = max(fastest, g.Speed)
+	}
+	const n = 20_000
+	for _, g := range p.Goals {
+		in, of := 0, 0
+		for i := range p.e.Classes {
+			c := &p.e.Classes[i]
+			if g.Class != "" && g.Class != c.Name {
+				continue
+			}
+			l := &p.e.Fleet.Link
+			for range int(n * max(c.Part, 0.01)) {
+				of++
+				if time.Duration(float64(c.draw(rng))/fastest)+2*l.Delay.D()+l.takes(c.Answer) <= c.Wanted.D() {
+					in++
+				}
+			}
+		}
+		if part := float64(in) / float64(max(of, 1)); part < g.InTime-0.0005 {
+			return fmt.Errorf("goal %v cannot be had with any number of servers: alone at the fastest one %.4g of the requests are in time, by their service times", g, part)
+		}
+	}
+	return nil
+}
+
+// try simulates so many times the window's load on so many servers, and says which goal is missed; "" where none is.
+func (p *Plan) try(by float64, servers int, seed uint64, kill string) (missed string, inTime float64, goodput float64, err error) {
+	e := p.sized(servers)
+	if err := e.replay(p.c, &Trace{File: "the capture", Speed: 1, By: by, Unknown: "refuse"}); err != nil {
+		return "", 0, 0, err
+	}
+	e.Seed = int(seed)
+	e.Phases = []config.Duration{config.Duration(planHead)}
+	if kill != "" {
+		at := e.Length.D() / 3
+		e.Events = []Event{{At: config.Duration(at), Do: "kill", How: "refuses", Zone: kill, Part: 1}}
+		e.Phases = []config.Duration{config.Duration(at + 3*time.Second)}
+	}
+	r, err := Simulate(e, 1)
+	if err != nil {
+		return "", 0, 0, err
+	}
+	missed, inTime = p.judge(r)
+	last := &r.Phases[len(r.Phases)-1]
+	return missed, inTime, float64(last.All.InTime) / (last.To - last.From).Seconds(), nil
+}
+
+// judge looks at a report's last phase.
+func (p *Plan) judge(r *Report) (missed string, inTime float64) {
+	last := &r.Phases[len(r.Phases)-1]
+	worst := 0.0
+	for _, g := range p.Goals {
+		o := &last.All
+		if g.Class != "" {
+			for i := range last.Classes {
+				if last.Classes[i].Class == g.Class {
+					o = &last.Classes[i]
+				}
+			}
+		}
+		v := o.part(o.InTime)
+		if short := g.InTime - v; o.Asked > 0 && short > worst {
+			worst = short
+			missed = fmt.Sprintf("%v: %.4g in time, %.4g late, %.4g refused, p99 %v", g, v, o.part(o.Late), o.part(o.Refused+o.Failed), o.P99.Round(time.Millisecond))
+		}
+	}
+	return missed, last.All.part(last.All.InTime)
+}
+
+// sized is the fleet with so many servers, of its kinds in their proportions; 0: as it is.
+func (p *Plan) sized(servers int) *Experiment {
+	e := *p.e
+	e.Length = config.Duration(min(p.c.Length, planLength))
+	e.Events = nil
+	if servers == 0 || servers == p.Servers {
+		return &e
+	}
+	e.Fleet.Groups = slices.Clone(e.Fleet.Groups)
+	left, all := servers, p.Servers
+	for i := range e.Fleet.Groups {
+		g := &e.Fleet.Groups[i]
+		was := g.Servers
+		g.Servers = int(math.Round(float64(left) * float64(was) / float64(all)))
+		left, all = left-g.Servers, all-was
+	}
+	e.Fleet.Groups = slices.DeleteFunc(e.Fleet.Groups, func(g Group) bool { return g.Servers == 0 })
+	return &e
+}
+
+// breaks finds for each seed the highest multiple of the load that meets the goals.
+func (p *Plan) breaks(seeds int, rate float64) error {
+	bound := p.Capacity / rate
+	var l []float64
+	for seed := range uint64(seeds) {
+		low, high := 0.0, 1.6*bound
+		missed, _, _, err := p.try(high, 0, seed+1, "")
+		if err != nil {
+			return err
+		}
+		if missed == "" {
+			p.Breaks.Beyond, low = true, high
+		}
+		why := missed
+		for !p.Breaks.Beyond && high-low > 0.01*bound {
+			middle := (low + high) / 2
+			missed, _, _, err := p.try(middle, 0, seed+1, "")
+			if err != nil {
+				return err
+			}
+			if missed == "" {
+				low = middle
+			} else {
+				high, why = middle, missed
+			}
+		}
+		if l = append(l, low*rate); seed == 0 {
+			p.BreaksFirst = why
+		}
+	}
+	p.Breaks = estimate(l, p.Breaks.Beyond)
+	return nil
+}
+
+func estimate(l []float64, beyond bool) Estimate {
+	return Estimate{Median: median(l), Low: slices.Min(l), High: slices.Max(l), Beyond: beyond}
+}
+
+// needs finds for each seed the fewest servers that meet the goals at the rate, from what the work alone needs on.
+func (p *Plan) needs(seeds int, rate float64) error {
+	var l []float64
+	for seed := range uint64(seeds) {
+		holds := func(n int) (bool, error) {
+			missed, _, _, err := p.try(p.Rate/rate, n, seed+1, "")
+			return missed == "", err
+		}
+		low, high := max(p.ByWork, len(p.e.Fleet.Groups))-1, max(p.ByWork, len(p.e.Fleet.Groups))
+		for {
+			ok, err := holds(high)
+			if err != nil {
+				return err
+			}
+			if ok {
+				break
+			}
+			if low = high; high > 4*p.ByWork+8 || high >= mostServers {
+				p.Needed = Estimate{Median: float64(high), Low: float64(high), High: float64(high), Beyond: true}
+				return nil
+			}
+			high = high + max(high/5, 1)
+		}
+		for high-low > 1 {
+			middle := (low + high) / 2
+			ok, err := holds(middle)
+			if err != nil {
+				return err
+			}
+			if ok {
+				high = middle
+			} else {
+				low = middle
+			}
+		}
+		l = append(l, float64(high))
+	}
+	p.Needed = estimate(l, false)
+	return nil
+}
+
+// losses takes each zone away at the rate, with the fleet as it is.
+func (p *Plan) losses(seeds int, rate float64) error {
+	if len(p.e.Fleet.Zones) < 2 {
+		return nil
+	}
+	for _, z := range p.e.Fleet.Zones {
+		l, x := []float64(nil), Loss{Zone: z, Holds: true}
+		for seed := range uint64(seeds) {
+			missed, in, _, err := p.try(p.Rate/rate, 0, seed+1, z)
+			if err != nil {
+				return err
+			}
+			if l = append(l, in); missed != "" {
+				x.Holds, x.Missed = false, missed
+			}
+		}
+		x.InTime = estimate(l, false)
+		p.Losses = append(p.Losses, x)
+	}
+	return nil
+}
+
+// Confirm runs the load over loopback at the rate that was planned for and at nine tenths of the one at which it breaks, and
+// notes prediction and measurement.
+func (p *Plan) Confirm(ctx context.Context, opt LiveOptions) error {
+	window := Fit(p.c).Rate
+	rates := []float64{p.Rate}
+	if !p.Breaks.Beyond && p.Breaks.Median > 0 {
+		rates = append(rates, 0.9*p.Breaks.Median)
+	}
+	for _, rate := range rates {
+		k := Confirming{Rate: rate}
+		var err error
+		if _, k.PredictedIn, k.Predicted, err = p.try(rate/window, 0, 1, ""); err != nil {
+			return err
+		}
+		e := p.sized(0)
+		if err := e.replay(p.c, &Trace{File: "the capture", Speed: 1, By: rate / window, Unknown: "refuse"}); err != nil {
+			return err
+		}
+		e.Seed, e.Phases = 1, []config.Duration{config.Duration(planHead)}
+		r, err := Live(ctx, e, 1, opt)
+		if err != nil {
+			return err
+		}
+		last := &r.Phases[len(r.Phases)-1]
+		k.Measured, k.MeasuredIn = float64(last.All.InTime)/(last.To-last.From).Seconds(), last.All.part(last.All.InTime)
+		k.Error = k.Predicted/max(k.Measured, 1e-9) - 1
+		switch {
+		case r.Ended != "":
+			k.Note = r.Ended
+		case r.Generator.Bottleneck:
+			k.Note = "the generator was the bottleneck"
+		}
+		if p.Confirmed = append(p.Confirmed, k); r.Ended != "" {
+			return fmt.Errorf("the replay ended early: %s", r.Ended)
+		}
+	}
+	return nil
+}
+
+// Print writes it, the answer first.
+func (p *Plan) Print(out io.Writer) error {
+	var goals []string
+	for _, g := range p.Goals {
+		goals = append(goals, g.String())
+	}
+	fmt.Fprintf(out, "%s, %d servers; goal: %s\n\n", p.Fleet, p.Servers, strings.Join(goals, ", "))
+	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(t, "breaks at\t%v requests a second\t(its workers can do %.4g)\n", p.Breaks, p.Capacity)
+	if p.BreaksFirst != "" {
+		fmt.Fprintf(t, "breaks first\t%s\t\n", p.BreaksFirst)
+	}
+	fmt.Fprintf(t, "needs at %.4g a second\t%v servers\t(the work alone needs %d)\n", p.Rate, p.Needed, p.ByWork)
+	for _, l := range p.Losses {
+		says := "the goal holds"
+		if !l.Holds {
+			says = "DOES NOT HOLD: " + l.Missed
+		}
+		fmt.Fprintf(t, "without zone %s\t%v in time\t%s\n", l.Zone, l.InTime, says)
+	}
+	for _, k := range p.Confirmed {
+		fmt.Fprintf(t, "replayed at %.4g a second\t%.4g in time a second predicted, %.4g measured\terror %+.1f%%; part in time %.4g and %.4g %s\n", k.Rate, k.Predicted,
+			k.Measured, 100*k.Error, k.PredictedIn, k.MeasuredIn, k.Note)
+	}
+	if err := t.Flush(); err != nil {
+		return fmt.Errorf("writing the plan: %w", err)
+	}
+	fmt.Fprintln(out, "\nIt rests on this:")
+	for _, a := range p.Assumptions {
+		fmt.Fprintln(out, "-", a)
+	}
+	return nil
+}
+
+// JSON writes it for machines.
+func (p *Plan) JSON(out io.Writer) error { return writeJSON(out, p) }
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -1,30 +1,61 @@
 package lab
 
 import (
+	"encoding/csv"
 	"encoding/json"
 	"fmt"
 	"io"
+	"os"
 	"slices"
+	"strconv"
+	"strings"
 	"text/tabwriter"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
-
-	"arrowhitch/internal/standin/fleet"
 )
 
 // Report is what came of an experiment, over all its seeds.
 type Report struct {
-	Experiment string  `json:"experiment"`
-	Engine     string  `json:"engine"`
-	Seeds      int     `json:"seeds"`
-	Phases     []Phase `json:"phases"`
-	Twice      int     `json:"effects_taken_twice"`
-	Lost       int     `json:"lost"`
+	Experiment string        `json:"experiment"`
+	About      string        `json:"about"`
+	Engine     string        `json:"engine"`
+	Seeds      int           `json:"seeds"`
+	Length     time.Duration `json:"length_ns"`
+	Runs       []Run         `json:"runs"` // one for each seed
+	Phases     []Phase       `json:"phases"`
+	Width      time.Duration `json:"series_width_ns"`
+	Series     []Point       `json:"series"`
+	Marks      []Mark        `json:"events"`
+	Twice      int           `json:"effects_taken_twice"`
+	Lost       int           `json:"lost"`
+	AfterDrain int           `json:"sent_after_drain"`
+	Steps      int           `json:"simulation_steps,omitempty"`
+	// Generator is how the load generator of the loopback engine kept up; nil: it was simulated.
+	Generator *Generator `json:"generator,omitempty"`
+	// Ended says why a run ended early; what was measured until then is in the report. Empty: it did not.
+	Ended string `json:"ended_early,omitempty"`
 	// Broken are the checks that do not hold, each in a line.
 	Broken []string `json:"broken"`
 }
 
+// Run is what came of one seed.
+type Run struct {
+	Seed    uint64        `json:"seed"`
+	Asked   int           `json:"asked"`
+	Goodput float64       `json:"in_time_per_second"`
+	InTime  float64       `json:"in_time"` // part of what was asked
+	Refused float64       `json:"refused"` // failed or lost: the same
+	P50     time.Duration `json:"p50_ns"`
+	P99     time.Duration `json:"p99_ns"`
+}
+
+// Mark is an event on the way.
+type Mark struct {
+	At   time.Duration `json:"at_ns"`
+	Text string        `json:"text"`
+}
+
 // Phase is what came of the requests that began in one.
 type Phase struct {
 	From      time.Duration `json:"from_ns"`
@@ -46,6 +77,7 @@
 	Late    int           `json:"late"`
 	Refused int           `json:"refused"`
 	Failed  int           `json:"failed"`
+	Lost    int           `json:"lost"`
 	P50     time.Duration `json:"p50_ns"`
 	P99     time.Duration `json:"p99_ns"`
 	P999    time.Duration `json:"p999_ns"`
@@ -53,46 +85,41 @@
 	took *hdrhistogram.Histogram
 }
 
-func (o *Outcome) add(c *fleet.Count) {
-	if o.took == nil {
-		o.took = hdrhistogram.New(1, int64(time.Hour/time.Microsecond), 3)
-	}
-	o.Asked, o.InTime, o.Late, o.Refused, o.Failed = o.Asked+c.Asked, o.InTime+c.InTime, o.Late+c.Late, o.Refused+c.Refused, o.Failed+c.Failed
-	for _, t := range c.Took {
-		_ = o.took.RecordValue(max(int64(t/time.Microsecond), 1)) // no request takes longer than its bound
-	}
-}
-
 func (o *Outcome) finish() {
-	if o.took == nil {
-		return
-	}
-	at := func(q float64) time.Duration { return time.Duration(o.took.ValueAtQuantile(q)) * time.Microsecond }
-	o.P50, o.P99, o.P999 = at(50), at(99), at(99.9)
+	o.P50, o.P99, o.P999 = quantile(o.took, 0.5), quantile(o.took, 0.99), quantile(o.took, 0.999)
 }
 
 func (o *Outcome) part(n int) float64 { return float64(n) / float64(max(o.Asked, 1)) }
 
-func (r *Report) add(e *Experiment, res *fleet.Result) {
-	r.Twice, r.Lost = r.Twice+res.Twice, r.Lost+res.Lost
-	if r.Phases == nil {
-		for _, p := range res.Phases {
-			n := Phase{From: p.From, To: p.To}
-			for _, c := range e.Classes {
-				n.Classes = append(n.Classes, Outcome{Class: c.Name})
-			}
-			r.Phases = append(r.Phases, n)
-		}
+func newReport(e *Experiment, engine string) *Report {
+	c := newCollector(e)
+	r := &Report{Experiment: e.Name, About: e.About, Engine: engine, Length: e.Length.D(), Phases: c.phases, Series: c.series, Width: c.width, Broken: []string{}}
+	for _, v := range e.timeline() {
+		r.Marks = append(r.Marks, Mark{v.At.D(), strings.TrimSpace(v.Do + " " + v.Zone)})
 	}
-	for i := range res.Phases {
-		p, n := &res.Phases[i], &r.Phases[i]
-		for j, c := range e.Classes {
-			n.Classes[j].add(p.Classes[c.Name])
-			n.All.add(p.Classes[c.Name])
+	return r
+}
+
+// add takes one run.
+func (r *Report) add(c *collector, seed uint64) {
+	r.Seeds++
+	r.Twice, r.Lost, r.AfterDrain, r.Steps = r.Twice+c.twice, r.Lost+c.lost, r.AfterDrain+c.afterDrain, r.Steps+c.steps
+	var all Outcome
+	for i := range c.phases {
+		p, n := &c.phases[i], &r.Phases[i]
+		for j := range p.Classes {
+			n.Classes[j].merge(&p.Classes[j])
 		}
-		n.Crossed, n.Sends, n.Fallen = n.Crossed+p.Crossed, n.Sends+p.Sends, n.Fallen+p.Fallen
-		n.WorstCold, n.Queue = max(n.WorstCold, p.Worst), max(n.Queue, p.Queue)
+		n.All.merge(&p.All)
+		all.merge(&p.All)
+		n.servers(p.Crossed, p.Sends, p.Fallen, p.WorstCold, p.Queue)
+	}
+	for i := range c.series {
+		r.Series[i].merge(&c.series[i])
 	}
+	all.finish()
+	r.Runs = append(r.Runs, Run{Seed: seed, Asked: all.Asked, Goodput: float64(all.InTime) / r.Length.Seconds(), InTime: all.part(all.InTime),
+		Refused: all.part(all.Refused + all.Failed + all.Lost), P50: all.P50, P99: all.P99})
 }
 
 func (r *Report) finish(e *Experiment) {
@@ -103,6 +130,13 @@
 			p.Classes[j].finish()
 		}
 	}
+	for i := range r.Series {
+		p := &r.Series[i]
+		p.P50, p.P99 = quantile(p.took, 0.5), quantile(p.took, 0.99)
+	}
+	if r.AfterDrain > 0 {
+		r.Broken = append(r.Broken, fmt.Sprintf("%d attempts were sent to servers more than a second after they began to drain", r.AfterDrain))
+	}
 	if r.Twice > 0 {
 		r.Broken = append(r.Broken, fmt.Sprintf("%d effects were taken twice", r.Twice))
 	}
@@ -135,7 +169,7 @@
 	if v := o.part(o.InTime); c.InTime != nil && v < *c.InTime {
 		bad("%.4f in time, want %v at least", v, *c.InTime)
 	}
-	if v := o.part(o.Refused + o.Failed); c.Refused != nil && v > *c.Refused {
+	if v := o.part(o.Refused + o.Failed + o.Lost); c.Refused != nil && v > *c.Refused {
 		bad("%.4f refused or failed, want %v at most", v, *c.Refused)
 	}
 	if v := o.part(o.Late); c.Late != nil && v > *c.Late {
@@ -150,11 +184,54 @@
 }
 
 // JSON writes it for machines.
-func (r *Report) JSON(out io.Writer) error {
-	enc := json.NewEncoder(out)
-	enc.SetIndent("", "  ")
-	if err := enc.Encode(r); err != nil {
-		return fmt.Errorf("writing the report: %w", err)
+func (r *Report) JSON(out io.Writer) error { return writeJSON(out, r) }
+
+// mostReport bounds a report's file.
+const mostReport = 64 << 20
+
+// ReadReport reads what JSON wrote.
+func ReadReport(path string) (*Report, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, fmt.Errorf("reading the report: %w", err)
+	}
+	defer f.Close()
+	r := &Report{}
+	d := json.NewDecoder(io.LimitReader(f, mostReport))
+	d.DisallowUnknownFields()
+	if err := d.Decode(r); err != nil {
+		return nil, fmt.Errorf("%s: not a report of lab run --json: %w", path, err)
+	}
+	if r.Length <= 0 || r.Width <= 0 || len(r.Series) == 0 || len(r.Runs) == 0 {
+		return nil, fmt.Errorf("%s: not a report of lab run --json: it holds no run", path)
+	}
+	return r, nil
+}
+
+// CSV writes the curves over time, one line for each part of the length.
+func (r *Report) CSV(out io.Writer) error {
+	w := csv.NewWriter(out)
+	servers := r.Servers()
+	head := []string{"from_s", "in_time", "late", "refused", "failed", "p50_ms", "p99_ms"}
+	for _, id := range servers {
+		head = append(head, "attempts_"+id)
+	}
+	_ = w.Write(head) // Flush's error is that of all
+	for i := range r.Series {
+		p := &r.Series[i]
+		l := []string{fmt.Sprint(p.From.Seconds())}
+		for _, n := range []int{p.InTime, p.Late, p.Refused, p.Failed} {
+			l = append(l, strconv.Itoa(n))
+		}
+		l = append(l, fmt.Sprint(p.P50.Seconds()*1000), fmt.Sprint(p.P99.Seconds()*1000))
+		for _, id := range servers {
+			l = append(l, strconv.Itoa(p.Sends[id]))
+		}
+		_ = w.Write(l)
+	}
+	w.Flush()
+	if err := w.Error(); err != nil {
+		return fmt.Errorf("writing the curves: %w", err)
 	}
 	return nil
 }
@@ -168,7 +245,7 @@
 		row := func(o *Outcome, name, rest string) {
 			pc := func(n int) string { return fmt.Sprintf("%.1f%%", 100*o.part(n)) }
 			ms := func(d time.Duration) string { return d.Round(time.Millisecond).String() }
-			fmt.Fprintf(t, "%v to %v\t%s\t%d\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\n", p.From, p.To, name, o.Asked, pc(o.InTime), pc(o.Late), pc(o.Refused), pc(o.Failed),
+			fmt.Fprintf(t, "%v to %v\t%s\t%d\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\n", p.From, p.To, name, o.Asked, pc(o.InTime), pc(o.Late), pc(o.Refused), pc(o.Failed+o.Lost),
 				ms(o.P50), ms(o.P99), ms(o.P999), rest)
 		}
 		for i := range p.Classes {
@@ -179,7 +256,14 @@
 	if err := t.Flush(); err != nil {
 		return fmt.Errorf("writing the report: %w", err)
 	}
-	fmt.Fprintf(out, "effects taken twice %d, requests lost %d\n", r.Twice, r.Lost)
+	fmt.Fprintf(out, "effects taken twice %d, requests lost %d, sent after a drain %d; the busiest server got %.1f%% of the attempts\n", r.Twice, r.Lost, r.AfterDrain,
+		100*r.busiest())
+	if r.Generator != nil {
+		fmt.Fprintln(out, r.Generator)
+	}
+	if r.Ended != "" {
+		fmt.Fprintln(out, "ended early:", r.Ended)
+	}
 	for _, b := range r.Broken {
 		fmt.Fprintln(out, "does not hold:", b)
 	}
--- a/internal/lab/sim.go
+++ b/internal/lab/sim.go
@@ -14,7 +14,7 @@
 	zoneModes  = []string{"tiers", "price", "failover"}
 	admissions = []string{"adaptive", "fixed", "off", "estimate"}
 	agains     = []string{"gives_up", "at_once", "heeds"}
-	deeds      = []string{"kill", "revive", "slow"}
+	deeds      = []string{"kill", "revive", "slow", "drain", "undrain", "flap", "push", "away", "back"}
 	hows       = map[string]fleet.How{"refuses": fleet.Refuses, "silent": fleet.Silent, "says_503": fleet.Says503, "resets": fleet.Resets, "loses": fleet.Loses}
 )
 
@@ -30,11 +30,20 @@
 // options words the experiment for the simulation.
 func (e *Experiment) options(seed uint64) fleet.Options {
 	f, g := &e.Fleet, &e.Gateways
-	o := fleet.Options{Mode: fleet.Mode(index(zoneModes, g.Zones)), Seed: seed, Zones: f.Zones, Gateways: g.Number, Servers: f.Servers, Rate: e.Load.Rate,
+	a := e.arrivals(seed)
+	o := fleet.Options{Mode: fleet.Mode(index(zoneModes, g.Zones)), Seed: seed, Zones: f.Zones, Gateways: g.Number, Clients: e.Load.Clients, Think: e.Load.Think.D(),
+		Arrivals: func() (fleet.Arrival, bool) {
+			x, ok := a.take()
+			return fleet.Arrival{At: x.at, Class: x.class, Gateway: x.gateway, Tenant: x.key}, ok
+		},
+		Link:   fleet.Link{Delay: f.Link.Delay.D(), Jitter: f.Link.Jitter.D(), Loss: f.Link.Loss},
 		Length: e.Length.D(), Workers: f.Workers, Service: f.Service.D(), Queue: f.Queue, Warm: f.WarmUp.D(), Share: f.Share, Fall: f.Fall,
 		Cross: f.Cross.D(), Again: fleet.Again(index(agains, e.Load.Again))}
+	for _, g := range f.Groups {
+		o.Groups = append(o.Groups, fleet.Group{Zone: g.Zone, Servers: g.Servers, Workers: g.Workers, Queue: g.Queue, Speed: g.at})
+	}
 	for _, c := range e.Classes {
-		o.Classes = append(o.Classes, fleet.Class{Part: c.Part, Class: logic.Class{Name: c.Name, Aim: c.Wanted.D(), Deadline: c.Deadline.D(), Worth: c.Worth,
+		o.Classes = append(o.Classes, fleet.Class{Part: c.Part, Draw: c.draw, Answer: f.Link.takes(c.Answer), Class: logic.Class{Name: c.Name, Aim: c.Wanted.D(), Deadline: c.Deadline.D(), Worth: c.Worth,
 			Effect: logic.Effect(c.Effect), Group: logic.Group(c.Group), Window: c.Window.D()}})
 	}
 	if g.Admission != "estimate" {
@@ -42,23 +51,10 @@
 		o.Admission = fleet.Admit(o, admit.Options{Mode: mode, Limit: g.Limit})
 		o.Zone.OwnFree = mode != admit.Off
 	}
-	if rate := e.Load.Rate; rate > 0 {
-		o.Burst = func(at time.Duration) float64 { return max(e.rate(at)/rate, 1e-9) }
-	} else {
-		o.Rate = 1e-6 // bursts alone
-	}
-	for _, b := range e.Load.Bursts {
-		for at := b.At.D(); at < e.Length.D(); at += b.Every.D() {
-			o.Events = append(o.Events, fleet.Event{At: at, Do: func(f *fleet.Fleet) { f.Burst(b.Size) }})
-			if b.Every == 0 {
-				break
-			}
-		}
-	}
 	for _, p := range e.Phases {
 		o.Phases = append(o.Phases, p.D())
 	}
-	for _, v := range e.Events {
+	for _, v := range e.timeline() {
 		o.Events = append(o.Events, fleet.Event{At: v.At.D(), Do: func(f *fleet.Fleet) {
 			switch v.Do {
 			case "kill":
@@ -68,26 +64,64 @@
 				f.Tell(v.Late.D())
 			case "slow":
 				f.Slow(v.Zone, v.By)
+			case "drain", "undrain":
+				f.Drain(v.Zone, v.Part, v.Do == "drain")
+				f.Tell(v.Late.D())
+			case "push":
+				f.Tell(0)
+			case "away", "back":
+				f.Away(v.Do == "away")
 			}
 		}})
 	}
 	return o
 }
 
-// Run plays an experiment with its seed and those after it, so many in all, on simulated time.
-func Run(e *Experiment, seeds int) (*Report, error) {
-	if seeds < 1 || seeds > 1000 {
-		return nil, fmt.Errorf("%d seeds, want 1 to 1000", seeds)
+// Simulate runs an experiment with its seed and those after it, so many in all, on simulated time.
+func Simulate(e *Experiment, seeds int) (*Report, error) {
+	if seeds < 1 || seeds > mostSeeds {
+		return nil, fmt.Errorf("%d seeds, want 1 to %d", seeds, mostSeeds)
 	}
-	r := &Report{Experiment: e.Name, Engine: "simulated", Seeds: seeds}
+	r := newReport(e, "simulated")
 	for i := range seeds {
 		seed := uint64(e.Seed + i)
-		res, err := fleet.Run(e.options(seed))
+		o, c := e.options(seed), newCollector(e)
+		o.Watch = fleet.Watch{
+			Sent: func(at time.Duration, _, server string) { c.sent(at, server) },
+			Answered: func(a fleet.Answer) {
+				out := refused
+				switch {
+				case a.InTime:
+					out = inTime
+				case a.Late:
+					out = late
+				case a.Failed:
+					out = failed
+				}
+				c.answered(a.At, a.Took, a.Class, out)
+			}}
+		res, err := fleet.Run(o)
 		if err != nil {
 			return nil, fmt.Errorf("%s with seed %d: %w", e.Name, seed, err)
 		}
-		r.add(e, &res)
+		c.twice, c.afterDrain, c.steps = res.Twice, res.AfterDrain, res.Events
+		if c.lost = res.Lost; res.Lost == 0 && c.asked != asked(res) {
+			return nil, fmt.Errorf("%s with seed %d: %d answers were seen and %d were counted", e.Name, seed, c.asked, asked(res))
+		}
+		for j, p := range res.Phases {
+			c.phases[j].servers(p.Crossed, p.Sends, p.Fallen, p.Worst, p.Queue)
+		}
+		r.add(c, seed)
 	}
 	r.finish(e)
 	return r, nil
 }
+
+func asked(r fleet.Result) (n int) {
+	for _, p := range r.Phases {
+		for _, c := range p.Classes {
+			n += c.InTime + c.Late + c.Refused + c.Failed
+		}
+	}
+	return n
+}
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -32,6 +32,46 @@
 type Class struct {
 	logic.Class
 	Part float64
+	// Draw gives how long a server at its full speed takes for one; nil: exponential with Options.Service as its mean.
+	Draw func(*rand.Rand) time.Duration
+	// Answer is how long its answer takes on the link, over the delay.
+	Answer time.Duration
+}
+
+// Group is servers that are alike. Zero values are those of Options.
+type Group struct {
+	Zone           string
+	Servers        int
+	Workers, Queue int
+	// Speed is their part of the full speed at a time, which may change as a neighbour's work comes and goes; nil: 1.
+	Speed func(at time.Duration) float64
+}
+
+// Arrival is a request that comes.
+type Arrival struct {
+	At             time.Duration
+	Class, Gateway int
+	Tenant         string
+}
+
+// Link is between a gateway and a server, beside Options.Cross.
+type Link struct {
+	Delay  time.Duration // each way
+	Jitter time.Duration // mean of what is added to it, exponentially distributed
+	Loss   float64       // of answers: the connection breaks in place of one
+}
+
+// Answer is how a client's request ended. Exactly one of the four is set.
+type Answer struct {
+	At, Took                      time.Duration // At: since the start, when its client asked for the first time
+	Class                         string
+	InTime, Late, Refused, Failed bool
+}
+
+// Watch is told what happens, where its functions are set.
+type Watch struct {
+	Answered func(Answer)
+	Sent     func(at time.Duration, zone, server string)
 }
 
 // Options are what is simulated. Zero values are filled in.
@@ -40,11 +80,18 @@
 	Seed     uint64
 	Zones    []string // servers stand in them, gateways too, in turn
 	Gateways int
-	Servers  int     // in each zone
-	Rate     float64 // requests a second, all together
-	Burst    func(at time.Duration) float64
-	Length   time.Duration
-	Classes  []Class
+	Servers  int // in each zone
+	// Groups are the servers where they are not all alike, in place of Servers.
+	Groups []Group
+	Rate   float64 // requests a second, all together
+	// Arrivals gives the load, in the order of time, in place of Rate and Burst; nil: those two.
+	Arrivals func() (Arrival, bool)
+	// Clients ask one request after the other, with a pause whose mean is Think, beside what else comes.
+	Clients int
+	Think   time.Duration
+	Burst   func(at time.Duration) float64
+	Length  time.Duration
+	Classes []Class
 
 	Workers int           // of a server
 	Service time.Duration // mean of a request
@@ -53,6 +100,8 @@
 	Share   float64 // of its capacity that a cold server begins with
 	Fall    float64 // multiple of its warm-up capacity, over a second, at which a cold server falls over
 	Cross   time.Duration
+	Link    Link
+	Watch   Watch
 	Zone    zone.Options
 	// Admission makes what says which requests of a gateway may start; nil: the decision module's own estimate.
 	Admission func(gateway int) (logic.Admission, error)
@@ -103,6 +152,9 @@
 	Phases []Phase
 	Twice  int // effects that were taken twice
 	Lost   int // requests without an answer, or with two
+	// AfterDrain is attempts sent to a server more than a second after its list said that it drains.
+	AfterDrain int
+	Events     int // of the simulation
 }
 
 // Fleet runs.
@@ -118,6 +170,7 @@
 	result   Result
 	ids      int
 	waits    int                       // clients that ask again later
+	away     bool                      // the control plane
 	ran      map[string]map[string]int // by key: runs by zone
 	lives    map[string]bool           // zones
 }
@@ -128,6 +181,11 @@
 	since    time.Duration // it started; 0: long ago
 	how      How
 	until    time.Duration // it has fallen over until then
+	workers  int
+	limit    int // of its queue
+	speed    func(time.Duration) float64
+	draining bool
+	told     time.Duration // since when its list says so
 	busy     int
 	queue    []*attempt
 	arrivals []time.Duration
@@ -167,6 +225,8 @@
 	answered bool
 	phase    *Phase
 	home     bool
+	tenant   string
+	loop     bool // of a client that asks again after its answer
 }
 
 type gateway struct {
@@ -217,10 +277,10 @@
 	o.Cross, o.Length = cmp.Or(o.Cross, 8*time.Millisecond), cmp.Or(o.Length, 30*time.Second)
 	if len(o.Classes) == 0 {
 		o.Classes = []Class{
-			{logic.Class{Name: "seat-map", Aim: 200 * time.Millisecond, Deadline: 2 * time.Second, Worth: 1}, 0.7},
-			{logic.Class{Name: "seat-hold", Aim: 150 * time.Millisecond, Deadline: 2 * time.Second, Worth: 5, Effect: logic.Keyed,
-				Group: logic.GroupZone, Window: 4 * time.Second}, 0.25},
-			{logic.Class{Name: "pay", Aim: 200 * time.Millisecond, Deadline: 2 * time.Second, Worth: 20, Effect: logic.Unsafe}, 0.05},
+			{Class: logic.Class{Name: "seat-map", Aim: 200 * time.Millisecond, Deadline: 2 * time.Second, Worth: 1}, Part: 0.7},
+			{Class: logic.Class{Name: "seat-hold", Aim: 150 * time.Millisecond, Deadline: 2 * time.Second, Worth: 5, Effect: logic.Keyed,
+				Group: logic.GroupZone, Window: 4 * time.Second}, Part: 0.25},
+			{Class: logic.Class{Name: "pay", Aim: 200 * time.Millisecond, Deadline: 2 * time.Second, Worth: 20, Effect: logic.Unsafe}, Part: 0.05},
 		}
 	}
 	f := &Fleet{opt: o, now: origin, rng: rand.New(rand.NewPCG(o.Seed, 0x666c656574)), servers: map[string]*server{},
@@ -234,10 +294,18 @@
 		f.result.Phases = append(f.result.Phases, p)
 		from = to
 	}
-	for _, z := range o.Zones {
-		f.lives[z] = true
-		for i := range o.Servers {
-			f.add(fmt.Sprintf("%s-%d", z, i), z, 0)
+	if len(o.Groups) == 0 {
+		for _, z := range o.Zones {
+			o.Groups = append(o.Groups, Group{Zone: z, Servers: o.Servers})
+		}
+	}
+	n := map[string]int{}
+	for _, g := range o.Groups {
+		f.lives[g.Zone] = true
+		for range g.Servers {
+			s := f.add(fmt.Sprintf("%s-%d", g.Zone, n[g.Zone]), g.Zone, 0)
+			s.workers, s.limit, s.speed = cmp.Or(g.Workers, o.Workers), cmp.Or(g.Queue, o.Queue), g.Speed
+			n[g.Zone]++
 		}
 	}
 	for i := range o.Gateways {
@@ -250,8 +318,12 @@
 		f.after(e.At, func() { e.Do(f) })
 	}
 	f.arrive()
+	for i := range o.Clients {
+		f.after(time.Duration(f.rng.ExpFloat64()*float64(o.Think)), func() { f.loop(i) })
+	}
 	for len(f.heap) > 0 {
 		e := heap.Pop(&f.heap).(event)
+		f.result.Events++
 		if f.now = e.at; f.now > origin+o.Length+5*time.Second {
 			break
 		}
@@ -285,10 +357,11 @@
 	return &f.result.Phases[len(f.result.Phases)-1]
 }
 
-func (f *Fleet) add(id, zone string, since time.Duration) {
+func (f *Fleet) add(id, zone string, since time.Duration) *server {
 	s := &server{id: id, zone: zone, f: f, since: since, slow: 1}
 	f.servers[id] = s
 	f.order = append(f.order, s)
+	return s
 }
 
 func (f *Fleet) gateway(i int) error {
@@ -365,11 +438,23 @@
 
 // Tell hands all gateways the list as it stands now, after a while.
 func (f *Fleet) Tell(late time.Duration) {
+	if f.away {
+		return
+	}
 	l := make([]logic.Server, 0, len(f.order))
 	for _, s := range f.order {
-		l = append(l, logic.Server{ID: s.id, Zone: s.zone, Kind: "k", Weight: 1, Since: s.since})
+		state := logic.Running
+		if s.draining {
+			state = logic.Draining
+		}
+		l = append(l, logic.Server{ID: s.id, Zone: s.zone, Kind: "k", Weight: 1, Since: s.since, State: state})
 	}
 	f.after(late, func() {
+		for _, s := range f.order {
+			if s.draining && s.told == 0 {
+				s.told = f.now
+			}
+		}
 		for _, g := range f.gateways {
 			g.bal.Fleet(f.now, logic.FleetUpdate{Kind: logic.FleetAll, Servers: l})
 		}
@@ -379,7 +464,7 @@
 // Down takes a zone's servers down. Only some, where part is below 1.
 func (f *Fleet) Down(z string, how How, part float64) {
 	n := 0
-	all := int(math.Round(part * float64(f.opt.Servers)))
+	all := f.part(z, part)
 	for _, s := range f.order {
 		if s.zone == z && n < all {
 			n++
@@ -395,6 +480,35 @@
 	f.lives[z] = part < 1
 }
 
+// part is how many servers of a zone are so much of it.
+func (f *Fleet) part(z string, part float64) int {
+	n := 0
+	for _, s := range f.order {
+		if s.zone == z {
+			n++
+		}
+	}
+	return int(math.Round(part * float64(n)))
+}
+
+// Drain has part of a zone's servers drain, or ends that. The list says so when Tell is called.
+func (f *Fleet) Drain(z string, part float64, yes bool) {
+	n := f.part(z, part)
+	for _, s := range f.order {
+		if s.zone == z && n > 0 {
+			n--
+			s.draining, s.told = yes, 0
+		}
+	}
+}
+
+// Away has the control plane say nothing more, or say the list as it stands now.
+func (f *Fleet) Away(yes bool) {
+	if f.away = yes; !yes {
+		f.Tell(0)
+	}
+}
+
 // Slow multiplies the time that a zone's servers take.
 func (f *Fleet) Slow(z string, by float64) {
 	for _, s := range f.order {
@@ -427,6 +541,7 @@
 			f.servers[s.id] = s
 		}
 		s.how, s.since, s.busy, s.queue, s.arrivals, s.until = Lives, f.now, 0, nil, nil, 0
+		s.draining, s.told = false, 0
 	}
 }
 
@@ -442,6 +557,17 @@
 // ---- load ----
 
 func (f *Fleet) arrive() {
+	if f.opt.Arrivals != nil {
+		a, ok := f.opt.Arrivals()
+		if !ok {
+			return
+		}
+		f.after(a.At-f.Now(), func() {
+			f.begin(&f.opt.Classes[a.Class], f.gateways[a.Gateway], a.Tenant, false)
+			f.arrive()
+		})
+		return
+	}
 	rate := f.opt.Rate
 	if f.opt.Burst != nil {
 		rate *= f.opt.Burst(f.Now())
@@ -463,15 +589,39 @@
 }
 
 func (f *Fleet) ask() {
-	u, c := f.rng.Float64(), &f.opt.Classes[0]
+	c := f.class()
+	f.begin(c, f.gateways[f.rng.IntN(len(f.gateways))], "", false)
+}
+
+func (f *Fleet) class() (c *Class) {
+	u := f.rng.Float64()
 	for i := range f.opt.Classes {
 		if c = &f.opt.Classes[i]; u < c.Part {
 			break
 		}
 		u -= c.Part
 	}
-	g := f.gateways[f.rng.IntN(len(f.gateways))]
-	r := &request{class: c, began: f.now, deadline: f.now + c.Deadline, phase: f.phase(), home: f.lives[g.zone]}
+	return c
+}
+
+// loop has a client ask once more.
+func (f *Fleet) loop(client int) {
+	if f.Now() < f.opt.Length {
+		f.begin(f.class(), f.gateways[client%len(f.gateways)], strconv.Itoa(client), true)
+	}
+}
+
+func (f *Fleet) again(r *request) {
+	client, err := strconv.Atoi(r.tenant)
+	if err != nil {
+		return
+	}
+	f.after(time.Duration(f.rng.ExpFloat64()*float64(f.opt.Think))+time.Microsecond, func() { f.loop(client) })
+}
+
+// begin has a client ask for the first time.
+func (f *Fleet) begin(c *Class, g *gateway, tenant string, loop bool) {
+	r := &request{class: c, began: f.now, deadline: f.now + c.Deadline, phase: f.phase(), home: f.lives[g.zone], tenant: tenant, loop: loop}
 	n := r.phase.Classes[c.Name]
 	if n.Asked++; r.home {
 		n.Home++
@@ -488,7 +638,7 @@
 	}
 	r.asked = f.now
 	g.open[r.id] = r
-	g.bal.Request(f.now, logic.Request{ID: r.id, Class: r.class.Name, Left: r.deadline - f.now, Key: r.key, Write: r.class.Effect != logic.Safe})
+	g.bal.Request(f.now, logic.Request{ID: r.id, Class: r.class.Name, Left: r.deadline - f.now, Key: r.key, Tenant: r.tenant, Write: r.class.Effect != logic.Safe})
 }
 
 // ---- gateway ----
@@ -505,7 +655,24 @@
 		r.phase.Crossed++
 		way = f.opt.Cross / 2
 	}
+	l := &f.opt.Link
+	if way += l.Delay; l.Jitter > 0 {
+		way += time.Duration(f.rng.ExpFloat64() * float64(l.Jitter))
+	}
+	if s != nil {
+		if s.told > 0 && f.now > s.told+time.Second {
+			f.result.AfterDrain++
+		}
+		if f.opt.Watch.Sent != nil {
+			f.opt.Watch.Sent(f.Now(), s.zone, s.id)
+		}
+	}
 	end := func(res logic.Result, at time.Duration) {
+		if res == logic.Served {
+			if at += r.class.Answer; l.Loss > 0 && f.rng.Float64() < l.Loss {
+				res = logic.ConnLost
+			}
+		}
 		f.after(at, func() { g.ended(a, res) })
 	}
 	if s == nil || s.how == Refuses { // also one that has another id by now
@@ -527,14 +694,16 @@
 	if res == logic.Served && !r.answered {
 		done = true
 		g.answer(r, func(c *Count) {
-			c.Took = append(c.Took, g.f.now-r.asked)
-			if g.f.now-r.asked <= r.class.Aim {
+			took := g.f.now - r.asked
+			c.Took = append(c.Took, took)
+			if took <= r.class.Aim {
 				if c.InTime++; r.home {
 					c.HomeInTime++
 				}
 			} else {
 				c.Late++
 			}
+			g.f.answered(r, Answer{InTime: took <= r.class.Aim, Late: took > r.class.Aim})
 		})
 	}
 	g.bal.Outcome(g.f.now, logic.Outcome{ID: r.id, Attempt: a.n, Result: res, Took: g.f.now - a.sent, Done: done || r.answered})
@@ -549,6 +718,16 @@
 	delete(g.open, r.id)
 	c := r.phase.Classes[r.class.Name]
 	count(c)
+	if r.loop {
+		g.f.again(r)
+	}
+}
+
+func (f *Fleet) answered(r *request, a Answer) {
+	if f.opt.Watch.Answered != nil {
+		a.At, a.Took, a.Class = r.began-origin, f.now-r.asked, r.class.Name
+		f.opt.Watch.Answered(a)
+	}
 }
 
 func (g *gateway) no(id string, refused bool) {
@@ -567,6 +746,7 @@
 		} else {
 			c.Failed++
 		}
+		g.f.answered(r, Answer{Refused: refused, Failed: !refused})
 	})
 }
 
@@ -625,12 +805,20 @@
 	return s.f.opt.Share + (1-s.f.opt.Share)*float64(age)/float64(s.f.opt.Warm)
 }
 
+// part is its part of the full speed now, for all but its warm-up.
+func (s *server) part() float64 {
+	if s.speed == nil {
+		return 1
+	}
+	return max(s.speed(s.f.Now()), 1e-3)
+}
+
 // load is what came in the last second over what it can do in one.
 func (s *server) load() float64 {
 	for len(s.arrivals) > 0 && s.arrivals[0] < s.f.now-time.Second {
 		s.arrivals = s.arrivals[1:]
 	}
-	return float64(len(s.arrivals)) / (float64(s.f.opt.Workers) / s.f.opt.Service.Seconds() * s.warmth())
+	return float64(len(s.arrivals)) / (float64(s.workers) / s.f.opt.Service.Seconds() * s.warmth() * s.part())
 }
 
 func (s *server) take(a *attempt, end func(logic.Result)) {
@@ -652,7 +840,7 @@
 	case s.how == Refuses, f.now < s.until:
 		end(logic.NotConnected)
 	case s.how == Silent:
-	case s.how == Says503, s.sick[a.r.class.Name], len(s.queue) >= f.opt.Queue:
+	case s.how == Says503, s.sick[a.r.class.Name], len(s.queue) >= s.limit:
 		end(logic.TurnedAway)
 	case s.how == Resets:
 		s.run(a)
@@ -681,7 +869,12 @@
 	start := func(a *attempt, end func(logic.Result)) {
 		s.busy++
 		since := s.since
-		took := time.Duration(f.rng.ExpFloat64() * float64(f.opt.Service) * s.slow / s.warmth())
+		var took time.Duration
+		if draw := a.r.class.Draw; draw != nil {
+			took = time.Duration(float64(draw(f.rng)) * s.slow / s.warmth() / s.part())
+		} else {
+			took = time.Duration(f.rng.ExpFloat64() * float64(f.opt.Service) * s.slow / s.warmth() / s.part())
+		}
 		f.after(took, func() {
 			if s.since != since || s.how == Refuses {
 				return // it died meanwhile
@@ -702,7 +895,7 @@
 		})
 	}
 	last.begin = func() { start(last, end) }
-	if s.busy < f.opt.Workers {
+	if s.busy < s.workers {
 		s.queue = s.queue[:len(s.queue)-1]
 		last.begin()
 	}
@@ -718,8 +911,12 @@
 		zones = map[string]int{}
 		s.f.ran[a.r.key] = zones
 	}
-	if a.r.class.Effect == logic.Keyed && zones[s.zone] > 0 {
+	group := s.zone
+	if a.r.class.Effect == logic.Keyed && a.r.class.Group == logic.GroupAll {
+		group = "" // all servers drop a repeat
+	}
+	if a.r.class.Effect == logic.Keyed && zones[group] > 0 {
 		return
 	}
-	zones[s.zone]++
+	zones[group]++
 }
--- a/tools/measure/main.go
+++ b/tools/measure/main.go
@@ -5,10 +5,10 @@
 //	go run ./tools/measure flood   memory and CPU under 200 updates a second for 10 s
 //	go run ./tools/measure size    memory and CPU by the number of clusters and endpoints
 //	go run ./tools/measure zone    loss and return of a zone on simulated time: tiers, none, plain failover
-//	go run ./tools/measure zone-loopback  the same on loopback, with gateways and servers, about 2 minutes
 //	go run ./tools/measure zone-big  the same with 200 gateways and 72 servers
 //	go run ./tools/measure overload  bursts and overloads on simulated time, five ways of admission
-//	go run ./tools/measure overload-loopback  an overload on loopback, three modes, about a minute
+//
+// Experiments on loopback are robindrum lab run --engine loopback.
 //
 // What is measured runs in a process of its own; the load and the stand-ins run in this one.
 package main
@@ -63,18 +63,14 @@
 		err = flood()
 	case "size":
 		err = size()
-	case "zone-loopback":
-		err = loopback()
 	case "zone", "zone-big":
 		err = zones(flag.Arg(0) == "zone-big")
 	case "overload":
 		err = overload()
-	case "overload-loopback":
-		err = overloadLoopback()
 	case "child": // what is measured
 		err = child(flag.Arg(1), flag.Args()[2:])
 	default:
-		err = errors.New("want proxy, push, flood, size, zone, zone-loopback, zone-big, overload or overload-loopback")
+		err = errors.New("want proxy, push, flood, size, zone, zone-big or overload")
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "measure:", err)
--- a/tools/measure/overload.go
+++ b/tools/measure/overload.go
@@ -1,21 +1,11 @@
 package main
 
 import (
-	"context"
 	"fmt"
-	"io"
-	"log/slog"
-	"math/rand/v2"
-	"net/http"
-	"slices"
-	"sync"
 	"time"
 
 	"arrowhitch/internal/admit"
-	"arrowhitch/internal/config"
-	"arrowhitch/internal/gateway"
 	"arrowhitch/internal/standin/fleet"
-	"arrowhitch/internal/standin/origin"
 	"arrowhitch/logic"
 )
 
@@ -113,126 +103,3 @@
 	}
 	return nil
 }
-
-// overloadLoopback has a gateway before two servers of four workers take three times what these can do for 10 s, arrivals
-// not waiting for answers, each mode after the other, and tells where the generator was too slow itself.
-func overloadLoopback() error {
-	machine()
-	for _, mode := range []string{"off", "fixed", "adaptive"} {
-		if err := overloaded(mode); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func overloaded(mode string) error {
-	const workers, takes = 4, 20 * time.Millisecond
-	capacity := 2 * workers / takes.Seconds()
-	var list string
-	for range 2 {
-		o, err := origin.Start("", nil)
-		if err != nil {
-			return err
-		}
-		defer o.Kill()
-		o.Delay(takes)
-		o.Limit(origin.Capacity{Workers: workers, Share: 1})
-		list += fmt.Sprintf("{address: %q}, ", o.Addr)
-	}
-	f, err := config.Parse("overload.yaml", fmt.Appendf(nil, `listeners: [{name: web, address: "127.0.0.1:0"}]
-admin: {address: none}
-classes: [{name: seat-map, wanted: 300ms, deadline: 3s, worth: 1}, {name: seat-hold, wanted: 150ms, deadline: 2s, worth: 5}]
-clusters: [{name: c, overload: {mode: %s}, endpoints: [%s]}]
-routes: [{match: {prefix: /maps}, cluster: c, class: seat-map}, {match: {prefix: /holds}, cluster: c, class: seat-hold}]
-`, mode, list))
-	if err != nil {
-		return err
-	}
-	g, err := gateway.New(f, slog.New(slog.DiscardHandler))
-	if err != nil {
-		return err
-	}
-	defer g.Close()
-	type answer struct {
-		at, took time.Duration
-		hold     bool
-		status   int
-	}
-	tr := &http.Transport{MaxIdleConnsPerHost: 2048}
-	defer tr.CloseIdleConnections()
-	client := &http.Client{Transport: tr, Timeout: 10 * time.Second}
-	base := "http://" + g.Addr("web").String()
-	var mu sync.Mutex
-	var all []answer
-	var work sync.WaitGroup
-	late := time.Duration(0)
-	began := time.Now()
-	rng := rand.New(rand.NewPCG(1, 2))
-	for at := time.Duration(0); at < 16*time.Second; {
-		rate := 0.5 * capacity
-		if at >= 2*time.Second && at < 12*time.Second {
-			rate = 3 * capacity
-		}
-		at += time.Duration(rng.ExpFloat64() / rate * float64(time.Second))
-		time.Sleep(time.Until(began.Add(at)))
-		late = max(late, time.Since(began)-at)
-		due, hold := at, rng.IntN(10) == 0
-		work.Go(func() {
-			path := "/maps"
-			if hold {
-				path = "/holds"
-			}
-			r, _ := http.NewRequestWithContext(context.Background(), http.MethodGet, base+path, nil)
-			a := answer{at: due, hold: hold}
-			if resp, err := client.Do(r); err == nil {
-				_, _ = io.Copy(io.Discard, resp.Body)
-				resp.Body.Close()
-				a.status = resp.StatusCode
-			}
-			a.took = time.Since(began) - due // from when it was due: a generator that is late does not hide a wait
-			mu.Lock()
-			defer mu.Unlock()
-			all = append(all, a)
-		})
-	}
-	work.Wait()
-	fmt.Printf("%s: generator at most %v late\n", mode, late.Round(time.Millisecond))
-	for _, p := range []struct {
-		name     string
-		from, to time.Duration
-	}{{"half of the capacity", 0, 2 * time.Second}, {"three times", 2 * time.Second, 12 * time.Second}, {"the second after", 12 * time.Second, 13 * time.Second}, {"later", 13 * time.Second, 17 * time.Second}} {
-		var took []time.Duration
-		asked, in, refused := [2]int{}, [2]int{}, 0
-		for _, a := range all {
-			if a.at < p.from || a.at >= p.to {
-				continue
-			}
-			k, wanted := 0, 300*time.Millisecond
-			if a.hold {
-				k, wanted = 1, 150*time.Millisecond
-			}
-			asked[k]++
-			switch {
-			case a.status != http.StatusOK:
-				refused++
-			case a.took <= wanted:
-				in[k]++
-				fallthrough
-			default:
-				took = append(took, a.took)
-			}
-		}
-		slices.Sort(took)
-		q := func(f float64) time.Duration {
-			if len(took) == 0 {
-				return 0
-			}
-			return took[min(int(f*float64(len(took))), len(took)-1)].Round(time.Millisecond)
-		}
-		fmt.Printf("  %-22s %6d asked: in time %5.1f%% of the capacity, hold %5.1f%%, map %5.1f%%; refused %5.1f%%; p50 %v, p99 %v, p99.9 %v\n", p.name, asked[0]+asked[1],
-			100*float64(in[0]+in[1])/(capacity*(p.to-p.from).Seconds()), 100*float64(in[1])/float64(max(asked[1], 1)), 100*float64(in[0])/float64(max(asked[0], 1)),
-			100*float64(refused)/float64(max(asked[0]+asked[1], 1)), q(0.5), q(0.99), q(0.999))
-	}
-	return nil
-}
