lab: a server that returns under a new id is one line in the pictures

After a zone's return the picture of load by server showed a least busy one of 0 throughout: ids that were no more counted as servers without load, and shares of the busiest one were taken over two ids.

--- a/internal/lab/collect.go
+++ b/internal/lab/collect.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -108,8 +109,10 @@
 	}
 }
 
-// sent takes an attempt to a server.
-func (c *collector) sent(at time.Duration, server string) { c.point(at).Sends[server]++ }
+// sent takes an attempt to a server; one that came back under a new id counts as the one that it was.
+func (c *collector) sent(at time.Duration, server string) {
+	c.point(at).Sends[strings.TrimRight(server, "'")]++
+}
 
 func (p *Phase) servers(crossed, sends, fallen int, worst float64, queue int) {
 	p.Crossed, p.Sends, p.Fallen = p.Crossed+crossed, p.Sends+sends, p.Fallen+fallen
