logic: a cold server is drawn by its warmth and not by its square

Lines: the square of the warmth in Balancer.refresh. Its reason was that a live weight is at its highest right after a start; live weights have not been used since Fleet takes their mean instead. What is too much for a cold server is pushed's to say, by the multiple of the settings, and that stays.

Ruled out: admission that recovers too slowly.

A test counts the draws of a server at three stages of its warm-up.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -245,10 +245,10 @@
 	}
 	b.ready, b.table = b.ready[:0], b.table[:0]
 	for _, s := range some {
-		// Danger: a server that has just started holds nothing, so a live weight is at its highest and its
-		// counter wins each pair, which doubles its draws. Squaring the warmth takes that back.
+		// What it can do at the least, and no less: what it could have taken queues at the warm ones. What is too much
+		// for it is pushed's to say.
 		if w := b.warmth(s, now); w < 1 {
-			s.weight = min(s.weight, warm.mean(s.weight, 0.001)) * w * w
+			s.weight = min(s.weight, warm.mean(s.weight, 0.001)) * w
 		}
 		if !s.home && b.set.Tiers == nil {
 			s.weight *= b.spill(s.Zone, now)
--- a/logic/pick_test.go
+++ b/logic/pick_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 )
@@ -80,6 +81,29 @@
 	}
 }
 
+// A cold server is drawn by the capacity that it has at the least. Danger: by less, and what it could have taken queues at
+// the warm ones, just as many of them are replaced at once.
+func TestColdDrawsFollowWarmth(t *testing.T) {
+	set := settings()
+	set.ColdTime, set.ColdShare = 10*time.Second, 0.25
+	l := oneZone(4)
+	l[0].Since = 10 * time.Second
+	b, _ := start(t, set, l)
+	for at, share := range map[time.Duration]float64{10 * time.Second: 0.25, 15 * time.Second: 0.625, 20 * time.Second: 1} {
+		b.dirty = true
+		b.refresh(at)
+		n := 0.0
+		for range 6000 {
+			if b.draw(func(*server) bool { return true }, nil).ID == "s0" {
+				n++
+			}
+		}
+		if want := 6000 * share / (3 + share); math.Abs(n-want) > 150 {
+			t.Errorf("at %v: a cold server is drawn %.0f times of 6000, want about %.0f", at, n, want)
+		}
+	}
+}
+
 func TestListNews(t *testing.T) {
 	set := settings()
 	set.Proxies = 1                                          // so that nothing is refused at one server
