--- a/internal/lab/child.go
+++ b/internal/lab/child.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -25,6 +26,7 @@
 	web    string // its listeners' addresses
 	admin  string
 	exited chan struct{} // closed when it has ended
+	killed atomic.Bool   // on purpose
 
 	mu   sync.Mutex
 	err  error    // how it ended
@@ -160,6 +162,14 @@
 	}
 }
 
+// kill ends it at once, with all that it has in hand.
+func (c *child) kill() {
+	c.killed.Store(true)
+	_ = c.cmd.Process.Kill() // it may have ended
+	<-c.exited
+	_ = c.stdin.Close()
+}
+
 // stop ends it: by its drain, or, where that takes too long, at once.
 func (c *child) stop() {
 	_ = c.cmd.Process.Signal(syscall.SIGTERM) // it may have ended
--- a/internal/lab/collect.go
+++ b/internal/lab/collect.go
@@ -32,6 +32,7 @@
 	width              time.Duration
 	asked, lost, steps int
 	twice, afterDrain  int
+	back               time.Duration
 }
 
 // Point is a part of a run's length. Counts are of requests that were asked in it, over all seeds.
@@ -114,9 +115,10 @@
 	c.point(at).Sends[strings.TrimRight(server, "'")]++
 }
 
-func (p *Phase) servers(crossed, sends, fallen int, worst float64, queue int) {
-	p.Crossed, p.Sends, p.Fallen = p.Crossed+crossed, p.Sends+sends, p.Fallen+fallen
-	p.WorstCold, p.Queue = max(p.WorstCold, worst), max(p.Queue, queue)
+// servers adds what servers saw in o.
+func (p *Phase) servers(o *Phase) {
+	p.Crossed, p.Sends, p.Connects, p.Fallen = p.Crossed+o.Crossed, p.Sends+o.Sends, p.Connects+o.Connects, p.Fallen+o.Fallen
+	p.WorstCold, p.Queue = max(p.WorstCold, o.WorstCold), max(p.Queue, o.Queue)
 }
 
 // histogram holds times of up to an hour in microseconds, with so many digits.
--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -46,6 +46,7 @@
 	Share   float64         `yaml:"warm_share"` // of its speed that a cold server begins with
 	Fall    float64         `yaml:"fall"`       // multiple of its warm-up capacity over a second at which it falls over
 	Cross   config.Duration `yaml:"cross"`      // round trip to another zone; within one it is an eighth of that
+	Connect config.Duration `yaml:"connect"`    // a server's work for a new connection, over a request's
 }
 
 // Group is servers that are alike.
@@ -87,6 +88,14 @@
 	Zones     string `yaml:"zones"`     // tiers, price or failover
 	Admission string `yaml:"admission"` // adaptive, fixed, off, or estimate: the decision module's own
 	Limit     int    `yaml:"limit"`     // of a fixed admission
+	Source    Source `yaml:"source"`
+}
+
+// Source is what tells the gateways the list: one that starts asks it, and is not ready before it has an answer.
+type Source struct {
+	Places   int             `yaml:"places"`   // calls that it works on at once; 0: any number
+	Takes    config.Duration `yaml:"takes"`    // of a call
+	Patience config.Duration `yaml:"patience"` // that a call waits for a place before it fails; 0: for ever
 }
 
 // Class is a kind of request.
@@ -144,18 +153,18 @@
 	Size  int             `yaml:"size"`
 }
 
-// Event is something that happens to a zone.
+// Event is something that happens to a zone, or to the gateways.
 type Event struct {
 	At      config.Duration `yaml:"at"`
-	Do      string          `yaml:"do"` // kill, revive, slow, drain, undrain, flap, push, away, back
+	Do      string          `yaml:"do"` // kill, revive, slow, drain, undrain, flap, push, away, back, restart
 	Zone    string          `yaml:"zone"`
 	How     string          `yaml:"how"`     // kill: refuses, silent, says_503, resets or loses
-	Part    float64         `yaml:"part"`    // kill, drain: of the zone's servers; 1
+	Part    float64         `yaml:"part"`    // kill, drain: of the zone's servers; restart: of the gateways; 1
 	Renamed int             `yaml:"renamed"` // revive: so many come under new ids
 	Late    config.Duration `yaml:"late"`    // revive, drain, undrain: until the list tells of it
 	By      float64         `yaml:"by"`      // slow: everything takes so many times as long
 	Every   config.Duration `yaml:"every"`   // flap: from one kill to the next
-	Down    config.Duration `yaml:"down"`    // flap: until it is revived
+	Down    config.Duration `yaml:"down"`    // flap: until it is revived; restart: from the kill to the start
 	Count   int             `yaml:"count"`   // flap
 }
 
@@ -169,6 +178,8 @@
 	Late      *float64        `yaml:"late,omitempty"`
 	P99       config.Duration `yaml:"p99"`
 	WorstCold float64         `yaml:"worst_cold"` // load of a cold server over what it can do
+	Connects  float64         `yaml:"connects"`   // new connections over attempts, where the fleet has a cost of connect
+	Back      config.Duration `yaml:"back"`       // of all phases: the longest from a gateway's start until it was ready
 }
 
 // Bounds of an experiment. Danger: a slip of the pen in a file would run for a year, or take all memory.
@@ -358,6 +369,9 @@
 	between("fleet.fall", f.Fall, 1, 1e6)
 	between("gateways.number", float64(g.Number), 1, mostGateways)
 	between("gateways.limit", float64(g.Limit), 1, 1e6)
+	between("gateways.source.places", float64(g.Source.Places), 0, 1e6)
+	between("gateways.source.takes", g.Source.Takes.D().Seconds(), 0, 60)
+	between("fleet.connect", f.Connect.D().Seconds(), 0, 10)
 	oneOf("gateways.zones", g.Zones, zoneModes)
 	oneOf("gateways.admission", g.Admission, admissions)
 	e.checkFleet(s, between, oneOf)
@@ -530,7 +544,7 @@
 		if v.At >= e.Length {
 			s.Bad(field+".at", "%v is not before the end, %v", v.At.D(), e.Length.D())
 		}
-		if oneOf(field+".do", v.Do, deeds); v.Do != "push" && v.Do != "away" && v.Do != "back" {
+		if oneOf(field+".do", v.Do, deeds); v.Do != "push" && v.Do != "away" && v.Do != "back" && v.Do != "restart" {
 			oneOf(field+".zone", v.Zone, e.Fleet.Zones)
 		}
 		between(field+".part", v.Part, 0, 1)
@@ -559,8 +573,8 @@
 			if v.Down >= v.Every {
 				s.Bad(field+".down", "want less than every, %v, not %v", v.Every.D(), v.Down.D())
 			}
-		} else if v.Every != 0 || v.Down != 0 || v.Count != 0 {
-			s.Bad(field, "every, down and count are for flap")
+		} else if v.Every != 0 || v.Down != 0 && v.Do != "restart" || v.Count != 0 {
+			s.Bad(field, "every and count are for flap, down is for flap and restart")
 		}
 	}
 }
@@ -583,8 +597,8 @@
 				between(field+"."+name, *v, 0, 1)
 			}
 		}
-		if c.InTime == nil && c.Refused == nil && c.Late == nil && c.P99 == 0 && c.WorstCold == 0 {
-			s.Bad(field, "checks nothing: want in_time, refused, late, p99 or worst_cold")
+		if c.InTime == nil && c.Refused == nil && c.Late == nil && c.P99 == 0 && c.WorstCold == 0 && c.Connects == 0 && c.Back == 0 {
+			s.Bad(field, "checks nothing: want in_time, refused, late, p99, worst_cold, connects or back")
 		}
 	}
 }
--- a/internal/lab/host.go
+++ b/internal/lab/host.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -59,6 +60,9 @@
 	}
 	h.how, h.waiting, h.until, h.arrivals, h.draining, h.told = "", 0, 0, nil, false, 0
 	server, done := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}, make(chan struct{})
+	server.ConnContext = func(ctx context.Context, _ net.Conn) context.Context {
+		return context.WithValue(ctx, connection{}, &atomic.Bool{})
+	}
 	h.server, h.done = server, done
 	go func() {
 		defer close(done)
@@ -67,6 +71,9 @@
 	return nil
 }
 
+// connection is the key of whether a request has come on a connection.
+type connection struct{}
+
 // kill takes it down in a way; "" ends it for good.
 func (h *host) kill(how string) {
 	h.mu.Lock()
@@ -160,7 +167,14 @@
 	late := h.told > 0 && came > h.told+time.Second
 	id := h.id
 	h.mu.Unlock()
-	run.sent(came, id, crossed, late)
+	connected := false
+	if cost := run.e.Fleet.Connect.D(); cost > 0 {
+		if used, ok := r.Context().Value(connection{}).(*atomic.Bool); ok && !used.Swap(true) {
+			connected = true
+			took += cost
+		}
+	}
+	run.sent(came, id, crossed, late, connected)
 	if err := sleep(r.Context(), run.at(came+way)); err != nil {
 		return 0, err
 	}
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -6,6 +6,7 @@
 	"reflect"
 	"strings"
 	"testing"
+	"time"
 
 	"arrowhitch/internal/config"
 	experiments "arrowhitch/lab"
@@ -38,6 +39,8 @@
 		small + "events: [{at: 1s, do: kill, zone: b, how: refuses}]\n":  "events[0].zone: want one of [a]",
 		small + "events: [{at: 1s, do: kill, zone: a}]\n":                "events[0].how: want refuses",
 		small + "events: [{at: 1s, do: dance, zone: a}]\n":               "events[0].do: want one of",
+		small + "events: [{at: 1s, do: restart, count: 2}]\n":            "events[0]: every and count are for flap",
+		small + "gateways: {source: {places: -1}}\n":                     "gateways.source.places: want 0 to",
 		small + "events: [{at: 9s, do: revive, zone: a}]\n":              "events[0].at: 9s is not before the end",
 		small + "events: [{at: 1s, do: slow, zone: a}]\n":                "events[0].by: want 0.001",
 		small + "checks: [{phase: 1, in_time: 1}]\n":                     "checks[0].phase: there is no phase 1",
@@ -86,6 +89,25 @@
 	}
 }
 
+// Gateways that are killed at once come back through a source with few places, each request ends once, and what a herd
+// costs is measured: without the places' limit they are back at once.
+func TestGatewaysRestart(t *testing.T) {
+	text := small + "length: 8s\nfleet: {connect: 5ms}\ngateways: {number: 20, source: {places: 1, takes: 100ms, patience: 300ms}}\n" +
+		"classes: [{name: buy, effect: keyed, window: 4s}]\nevents: [{at: 1s, do: restart, part: 0.8, down: 200ms}]\nchecks: [{back: 1s}, {connects: 0.001}]\n"
+	text = strings.Replace(text, "length: 3s\n", "", 1)
+	r := play(t, text, 2)
+	// 16 calls of 100ms each, one after the other.
+	if r.Back < 1600*time.Millisecond || len(r.Broken) != 2 || !strings.Contains(r.Broken[0], "a gateway was ready") {
+		t.Errorf("back after %v, %q", r.Back, r.Broken)
+	}
+	if o := r.Phases[0].All; o.Asked != o.InTime+o.Late+o.Refused+o.Failed || o.Failed == 0 || o.Failed > o.Asked/50 {
+		t.Errorf("%+v: what the killed had in hand fails, and nothing else", o)
+	}
+	if r := play(t, strings.Replace(text, ", source: {places: 1, takes: 100ms, patience: 300ms}", "", 1), 1); r.Back != 0 {
+		t.Errorf("back after %v with a source that answers at once", r.Back)
+	}
+}
+
 // Checks that do not hold are named; those that do are not.
 func TestChecksDecide(t *testing.T) {
 	text := small + "fleet: {service: 40ms}\ngateways: {admission: off}\nload: {rate: 400}\nclasses: [{name: map, wanted: 100ms, deadline: 1s}]\nchecks: [{in_time: 0.01}, {in_time: 0.9}, {class: map, refused: 0}, {late: 0}, {p99: 10ms}]\n"
--- a/internal/lab/live_test.go
+++ b/internal/lab/live_test.go
@@ -77,7 +77,7 @@
 	text := `name: both
 length: 4s
 fleet: {zones: [a, b], servers: 2, warm_up: 500ms, link: {delay: 1ms, jitter: 1ms, loss: 0.02, bandwidth: 1MiB}}
-gateways: {number: 2, zones: tiers}
+gateways: {number: 2, zones: tiers, source: {places: 1, takes: 50ms, patience: 2s}}
 classes:
   - {name: map, part: 0.7, wanted: 500ms, deadline: 2s, distribution: lognormal, answer: 2KiB}
   - {name: hold, part: 0.2, wanted: 500ms, deadline: 2s, effect: keyed, group: zone, window: 4s}
@@ -90,6 +90,7 @@
   - {at: 2s, do: revive, zone: a, renamed: 1, late: 100ms}
   - {at: 2500ms, do: drain, zone: b, part: 0.5}
   - {at: 3s, do: undrain, zone: b}
+  - {at: 2800ms, do: restart, part: 0.5, down: 200ms}
   - {at: 3200ms, do: slow, zone: b, by: 2}
 phases: [1s, 2s]
 `
@@ -105,6 +106,9 @@
 		t.Fatal(err)
 	}
 	for _, r := range []*Report{sim, live(t, t.Context(), text, LiveOptions{})} {
+		if r.Back <= 0 || r.Back > 3*time.Second {
+			t.Errorf("%s: the gateway that was killed was back after %v", r.Engine, r.Back)
+		}
 		o := r.all()
 		if o.Asked < want+20 || o.Asked > want+400 || o.Asked != o.InTime+o.Late+o.Refused+o.Failed+o.Lost {
 			t.Errorf("%s: %+v, want each of %d and those of three clients to end once", r.Engine, o, want)
--- a/internal/lab/loopback.go
+++ b/internal/lab/loopback.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -117,19 +118,20 @@
 	plane   *controlplane.Server
 	version int
 	hosts   []*host
-	gates   []*child
 	clients []*http.Client
+	dir     string // of the gateways' files
 	bodies  map[string][]byte
 	began   time.Time
 	ids     atomic.Uint64
 	work    sync.WaitGroup
 
 	mu       sync.Mutex
+	gates    []*child // nil: it is down
 	c        *collector
 	effects  map[string]map[string]int // runs by key and group
 	gen      Generator
 	inFlight int
-	trouble  []string
+	troubles []string
 }
 
 // Live runs an experiment over loopback, with its seed and those after it, so many in all. What was measured until ctx
@@ -148,7 +150,7 @@
 		err := p.play(ctx)
 		r.add(p.c, p.seed)
 		r.Generator.add(&p.gen, e.Length.D()*time.Duration(r.Seeds))
-		r.Broken = append(r.Broken, p.trouble...)
+		r.Broken = append(r.Broken, p.troubles...)
 		if err != nil {
 			r.Ended = fmt.Sprintf("seed %d: %v", p.seed, err)
 			break
@@ -224,6 +226,7 @@
 		return fmt.Errorf("a folder for the gateways: %w", err)
 	}
 	defer os.RemoveAll(dir)
+	p.dir = dir
 	for i := range p.e.Gateways.Number {
 		c, err := p.e.begin(ctx, p.opt.Binary, dir, i, p.plane.Addr)
 		if err != nil {
@@ -233,6 +236,8 @@
 		p.clients = append(p.clients, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4096, DisableCompression: true,
 			DialContext: (&net.Dialer{Timeout: 5 * time.Second}).DialContext}})
 	}
+	source := p.e.Gateways.Source
+	p.plane.Limit(source.Places, source.Takes.D(), source.Patience.D())
 	if p.opt.started != nil {
 		p.opt.started(p)
 	}
@@ -247,7 +252,9 @@
 	}
 	var all sync.WaitGroup
 	for _, c := range p.gates {
-		all.Go(c.stop)
+		if c != nil {
+			all.Go(c.stop)
+		}
 	}
 	all.Wait()
 	for _, h := range p.hosts {
@@ -265,16 +272,21 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	p.began = time.Now()
-	for _, c := range p.gates {
+	watch := func(c *child) {
 		p.work.Go(func() {
 			select {
 			case <-c.exited:
-				cancel(c.died())
+				if !c.killed.Load() {
+					cancel(c.died())
+				}
 			case <-ctx.Done():
 			}
 		})
 	}
-	p.work.Go(func() { p.events(ctx) })
+	for _, c := range p.gates {
+		watch(c)
+	}
+	p.work.Go(func() { p.events(ctx, watch) })
 	if p.opt.Progress != nil {
 		p.work.Go(func() { p.progress(ctx) })
 	}
@@ -385,25 +397,35 @@
 	if logic.Effect(c.Effect) != logic.Safe {
 		method = http.MethodPost
 	}
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+p.gates[x.gateway].web+"/"+strconv.Itoa(x.class), nil)
+	i, gate := p.front(x.gateway)
+	if gate == nil {
+		return failed, 0 // nobody takes its connection
+	}
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+gate.web+"/"+strconv.Itoa(x.class), nil)
 	if err != nil {
 		return lost, 0
 	}
 	r.Header.Set("X-Request-Id", id)
-	r.Header.Set(zoneHeader, p.gates[x.gateway].zone)
+	r.Header.Set(zoneHeader, gate.zone)
 	if x.key != "" {
 		r.Header.Set("X-Tenant", x.key)
 	}
 	if logic.Effect(c.Effect) == logic.Keyed {
 		r.Header.Set("Idempotency-Key", id)
 	}
-	resp, err := p.clients[x.gateway].Do(r)
-	if err != nil {
+	broken := func() (outcome, time.Duration) {
+		if gate.killed.Load() { // with what it had in hand
+			return failed, 0
+		}
 		return lost, 0
 	}
+	resp, err := p.clients[i].Do(r)
+	if err != nil {
+		return broken()
+	}
 	defer resp.Body.Close()
 	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-		return lost, 0
+		return broken()
 	}
 	switch resp.StatusCode {
 	case http.StatusOK:
@@ -415,13 +437,75 @@
 	return failed, 0
 }
 
+// front gives the gateway that a client of gateway i is led to, and its number: i, or, while it is down, any that is not.
+func (p *playing) front(i int) (int, *child) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c := p.gates[i]; c != nil {
+		return i, c
+	}
+	var up []int
+	for j, c := range p.gates {
+		if c != nil {
+			up = append(up, j)
+		}
+	}
+	if len(up) == 0 {
+		return 0, nil
+	}
+	i = up[rand.IntN(len(up))]
+	return i, p.gates[i]
+}
+
+// restart kills part of the gateways at once, the first ones, and has them start again after a while. It is done when
+// the last of them is ready, or one cannot be.
+func (p *playing) restart(ctx context.Context, part float64, down time.Duration, watch func(*child)) error {
+	n := int(part*float64(len(p.gates)) + 0.5)
+	p.mu.Lock()
+	old := slices.Clone(p.gates[:n])
+	clear(p.gates[:n])
+	p.mu.Unlock()
+	var all sync.WaitGroup
+	for _, c := range old {
+		if c != nil {
+			c.killed.Store(true)
+			all.Go(c.kill)
+		}
+	}
+	all.Wait()
+	if err := sleep(ctx, time.Now().Add(down)); err != nil {
+		return err
+	}
+	began := time.Now()
+	errs := make([]error, n)
+	for i := range n {
+		all.Go(func() {
+			c, err := p.e.begin(ctx, p.opt.Binary, p.dir, i, p.plane.Addr)
+			if errs[i] = err; err != nil {
+				return
+			}
+			p.clients[i].CloseIdleConnections()
+			watch(c)
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.gates[i] = c
+			p.c.back = max(p.c.back, time.Since(began))
+		})
+	}
+	all.Wait()
+	return errors.Join(errs...)
+}
+
 // ---- what servers tell ----
 
-func (p *playing) sent(at time.Duration, id string, crossed, late bool) {
+func (p *playing) sent(at time.Duration, id string, crossed, late, connected bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.c.sent(at, id)
 	n := p.c.phase(at)
+	if connected {
+		n.Connects++
+	}
 	if n.Sends++; crossed {
 		n.Crossed++
 	}
@@ -470,16 +554,25 @@
 
 // ---- events ----
 
-func (p *playing) events(ctx context.Context) {
+func (p *playing) events(ctx context.Context, watch func(*child)) {
 	for _, v := range p.e.timeline() {
 		if sleep(ctx, p.at(v.At.D())) != nil {
 			return
 		}
-		if err := p.event(ctx, &v); err != nil && !errors.Is(err, context.Canceled) {
-			p.mu.Lock()
-			p.trouble = append(p.trouble, fmt.Sprintf("%s %s at %v: %v", v.Do, v.Zone, v.At.D(), err))
-			p.mu.Unlock()
+		if v.Do == "restart" { // what comes after it does not wait for the last one to be ready
+			p.work.Go(func() { p.trouble(&v, p.restart(ctx, v.Part, v.Down.D(), watch)) })
+			continue
 		}
+		p.trouble(&v, p.event(ctx, &v))
+	}
+}
+
+// trouble notes that an event could not be.
+func (p *playing) trouble(v *Event, err error) {
+	if err != nil && !errors.Is(err, context.Canceled) {
+		p.mu.Lock()
+		p.troubles = append(p.troubles, fmt.Sprintf("%s %s at %v: %v", v.Do, v.Zone, v.At.D(), err))
+		p.mu.Unlock()
 	}
 }
 
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -30,7 +30,9 @@
 	Twice      int           `json:"effects_taken_twice"`
 	Lost       int           `json:"lost"`
 	AfterDrain int           `json:"sent_after_drain"`
-	Steps      int           `json:"simulation_steps,omitempty"`
+	// Back is the longest from a gateway's start until it was ready, of all runs; 0 where none was restarted.
+	Back  time.Duration `json:"back_ns"`
+	Steps int           `json:"simulation_steps,omitempty"`
 	// Generator is how the load generator of the loopback engine kept up; nil: it was simulated.
 	Generator *Generator `json:"generator,omitempty"`
 	// Ended says why a run ended early; what was measured until then is in the report. Empty: it did not.
@@ -64,6 +66,7 @@
 	All       Outcome       `json:"all"`
 	Crossed   int           `json:"attempts_crossed"`
 	Sends     int           `json:"attempts"`
+	Connects  int           `json:"new_connections"` // of them, on one of those; 0 where connecting has no cost
 	Fallen    int           `json:"cold_servers_fallen"`
 	WorstCold float64       `json:"worst_cold_server"` // load over what it can do, the most of all seeds
 	Queue     int           `json:"most_at_a_server"`
@@ -104,6 +107,7 @@
 func (r *Report) add(c *collector, seed uint64) {
 	r.Seeds++
 	r.Twice, r.Lost, r.AfterDrain, r.Steps = r.Twice+c.twice, r.Lost+c.lost, r.AfterDrain+c.afterDrain, r.Steps+c.steps
+	r.Back = max(r.Back, c.back)
 	var all Outcome
 	for i := range c.phases {
 		p, n := &c.phases[i], &r.Phases[i]
@@ -112,7 +116,7 @@
 		}
 		n.All.merge(&p.All)
 		all.merge(&p.All)
-		n.servers(p.Crossed, p.Sends, p.Fallen, p.WorstCold, p.Queue)
+		n.servers(p)
 	}
 	for i := range c.series {
 		r.Series[i].merge(&c.series[i])
@@ -144,6 +148,9 @@
 		r.Broken = append(r.Broken, fmt.Sprintf("%d requests have no answer, or two", r.Lost))
 	}
 	for i, c := range e.Checks {
+		if c.Back > 0 && r.Back > c.Back.D() {
+			r.Broken = append(r.Broken, fmt.Sprintf("checks[%d]: a gateway was ready %v after its start, want %v at most", i, r.Back, c.Back.D()))
+		}
 		for j := range r.Phases {
 			if c.Phase == nil || *c.Phase == j {
 				r.check(i, j, &c)
@@ -178,6 +185,9 @@
 	if c.P99 > 0 && o.P99 > c.P99.D() {
 		bad("p99 %v, want %v at most", o.P99, c.P99.D())
 	}
+	if v := float64(p.Connects) / float64(max(p.Sends, 1)); c.Connects > 0 && v > c.Connects {
+		bad("%.3f new connections an attempt, want %v at most", v, c.Connects)
+	}
 	if c.WorstCold > 0 && p.WorstCold > c.WorstCold {
 		bad("a cold server got %.2f times what it can do, want %v at most", p.WorstCold, c.WorstCold)
 	}
--- a/internal/lab/sim.go
+++ b/internal/lab/sim.go
@@ -14,7 +14,7 @@
 	zoneModes  = []string{"tiers", "price", "failover"}
 	admissions = []string{"adaptive", "fixed", "off", "estimate"}
 	agains     = []string{"gives_up", "at_once", "heeds"}
-	deeds      = []string{"kill", "revive", "slow", "drain", "undrain", "flap", "push", "away", "back"}
+	deeds      = []string{"kill", "revive", "slow", "drain", "undrain", "flap", "push", "away", "back", "restart"}
 	hows       = map[string]fleet.How{"refuses": fleet.Refuses, "silent": fleet.Silent, "says_503": fleet.Says503, "resets": fleet.Resets, "loses": fleet.Loses}
 )
 
@@ -38,7 +38,7 @@
 		},
 		Link:   fleet.Link{Delay: f.Link.Delay.D(), Jitter: f.Link.Jitter.D(), Loss: f.Link.Loss},
 		Length: e.Length.D(), Workers: f.Workers, Service: f.Service.D(), Queue: f.Queue, Warm: f.WarmUp.D(), Share: f.Share, Fall: f.Fall,
-		Cross: f.Cross.D(), Again: fleet.Again(index(agains, e.Load.Again))}
+		Cross: f.Cross.D(), Connect: f.Connect.D(), Source: fleet.Source{Places: g.Source.Places, Takes: g.Source.Takes.D(), Patience: g.Source.Patience.D()}, Again: fleet.Again(index(agains, e.Load.Again))}
 	for _, g := range f.Groups {
 		o.Groups = append(o.Groups, fleet.Group{Zone: g.Zone, Servers: g.Servers, Workers: g.Workers, Queue: g.Queue, Speed: g.at})
 	}
@@ -71,6 +71,8 @@
 				f.Tell(0)
 			case "away", "back":
 				f.Away(v.Do == "away")
+			case "restart":
+				f.Restart(v.Part, v.Down.D())
 			}
 		}})
 	}
@@ -104,12 +106,13 @@
 		if err != nil {
 			return nil, fmt.Errorf("%s with seed %d: %w", e.Name, seed, err)
 		}
+		c.back = res.Back
 		c.twice, c.afterDrain, c.steps = res.Twice, res.AfterDrain, res.Events
 		if c.lost = res.Lost; res.Lost == 0 && c.asked != asked(res) {
 			return nil, fmt.Errorf("%s with seed %d: %d answers were seen and %d were counted", e.Name, seed, c.asked, asked(res))
 		}
 		for j, p := range res.Phases {
-			c.phases[j].servers(p.Crossed, p.Sends, p.Fallen, p.Worst, p.Queue)
+			c.phases[j].servers(&Phase{Crossed: p.Crossed, Sends: p.Sends, Connects: p.Connects, Fallen: p.Fallen, WorstCold: p.Worst, Queue: p.Queue})
 		}
 		r.add(c, seed)
 	}
--- a/internal/standin/controlplane/controlplane.go
+++ b/internal/standin/controlplane/controlplane.go
@@ -17,6 +17,8 @@
 
 	discoveryv3 "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/anypb"
 	"google.golang.org/protobuf/types/known/durationpb"
@@ -67,6 +69,55 @@
 	news     chan struct{} // closed and made anew with each request
 	stalled  chan struct{} // nil: not stalled
 	frozen   bool          // nothing is sent unasked or asked
+	limit    *limit        // nil: none
+}
+
+// limit is a control plane of small capacity.
+type limit struct {
+	places          chan struct{}
+	takes, patience time.Duration
+}
+
+// Limit has each stream that is opened from now on wait for one of so many places and hold it for a while before it is
+// read. One that waits longer than patience, if that is not 0, ends as unavailable. Without places there is no limit.
+func (s *Server) Limit(places int, takes, patience time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.limit = nil; places > 0 {
+		s.limit = &limit{make(chan struct{}, places), takes, patience}
+	}
+}
+
+// enter waits for a stream's turn.
+func (s *Server) enter(ctx context.Context) error {
+	s.mu.Lock()
+	l := s.limit
+	s.mu.Unlock()
+	if l == nil {
+		return nil
+	}
+	tired := make(<-chan time.Time)
+	if l.patience > 0 {
+		t := time.NewTimer(l.patience)
+		defer t.Stop()
+		tired = t.C
+	}
+	select {
+	case l.places <- struct{}{}:
+	case <-tired:
+		return status.Error(codes.Unavailable, "too many callers")
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	defer func() { <-l.places }()
+	t := time.NewTimer(l.takes)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 }
 
 // Start listens on loopback, at addr or, where that is empty, at a port of its own.
@@ -396,6 +447,9 @@
 func (a ads) StreamAggregatedResources(in discoveryv3.AggregatedDiscoveryService_StreamAggregatedResourcesServer) error {
 	st := &stream{sotw: in}
 	defer a.open(st)()
+	if err := a.s.enter(in.Context()); err != nil {
+		return err
+	}
 	for {
 		r, err := in.Recv()
 		if err != nil {
@@ -435,6 +489,9 @@
 func (a ads) DeltaAggregatedResources(in discoveryv3.AggregatedDiscoveryService_DeltaAggregatedResourcesServer) error {
 	st := &stream{delta: in}
 	defer a.open(st)()
+	if err := a.s.enter(in.Context()); err != nil {
+		return err
+	}
 	for {
 		r, err := in.Recv()
 		if err != nil {
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -101,6 +101,10 @@
 	Fall    float64 // multiple of its warm-up capacity, over a second, at which a cold server falls over
 	Cross   time.Duration
 	Link    Link
+	// Connect is a server's work for a new connection, at its full speed; 0: none. Gateways keep one for Idle.
+	Connect time.Duration
+	Idle    time.Duration
+	Source  Source
 	Watch   Watch
 	Zone    zone.Options
 	// Admission makes what says which requests of a gateway may start; nil: the decision module's own estimate.
@@ -132,6 +136,7 @@
 	Classes  map[string]*Count
 	Crossed  int     // attempts that left their gateway's zone
 	Sends    int     // attempts
+	Connects int     // of them, those on a new connection, where these cost anything
 	Fallen   int     // times that a cold server fell over
 	Queue    int     // the most requests at a server at once
 	Worst    float64 // the most that any cold server got in a second, over its capacity then
@@ -153,8 +158,10 @@
 	Twice  int // effects that were taken twice
 	Lost   int // requests without an answer, or with two
 	// AfterDrain is attempts sent to a server more than a second after its list said that it drains.
-	AfterDrain int
-	Events     int // of the simulation
+	AfterDrain   int
+	Events       int           // of the simulation
+	SourceFailed int           // calls to the source
+	Back         time.Duration // the longest from a gateway's start until it was ready
 }
 
 // Fleet runs.
@@ -169,10 +176,12 @@
 	order    []*server
 	result   Result
 	ids      int
+	made     int                       // gateways, those that were killed among them
 	waits    int                       // clients that ask again later
 	away     bool                      // the control plane
 	ran      map[string]map[string]int // by key: runs by zone
 	lives    map[string]bool           // zones
+	err      error
 }
 
 type server struct {
@@ -212,6 +221,7 @@
 	sent  time.Duration
 	done  bool
 	begin func()
+	extra time.Duration // its server's work for its connection
 }
 
 type request struct {
@@ -230,11 +240,16 @@
 }
 
 type gateway struct {
-	f    *Fleet
-	zone string
-	bal  *logic.Balancer
-	book *zone.Book
-	open map[string]*request
+	f      *Fleet
+	number int
+	zone   string
+	bal    *logic.Balancer
+	book   *zone.Book
+	open   map[string]*request
+	idle   map[string][]time.Duration // connections by server: since when, where they cost anything
+	ready  bool                       // the list has come
+	dead   bool                       // killed: another one has its place
+	born   time.Duration
 }
 
 type event struct {
@@ -274,6 +289,7 @@
 	o.Gateways, o.Servers = cmp.Or(o.Gateways, 4), cmp.Or(o.Servers, 6)
 	o.Workers, o.Service, o.Queue = cmp.Or(o.Workers, 4), cmp.Or(o.Service, 20*time.Millisecond), cmp.Or(o.Queue, 100)
 	o.Warm, o.Share, o.Fall = cmp.Or(o.Warm, 10*time.Second), cmp.Or(o.Share, 0.2), cmp.Or(o.Fall, 2.5)
+	o.Idle = cmp.Or(o.Idle, 10*time.Second)
 	o.Cross, o.Length = cmp.Or(o.Cross, 8*time.Millisecond), cmp.Or(o.Length, 30*time.Second)
 	if len(o.Classes) == 0 {
 		o.Classes = []Class{
@@ -309,9 +325,12 @@
 		}
 	}
 	for i := range o.Gateways {
-		if err := f.gateway(i); err != nil {
+		g, err := f.newGateway(i)
+		if err != nil {
 			return Result{}, err
 		}
+		g.ready = true // it has long had the list
+		f.gateways = append(f.gateways, g)
 	}
 	f.Tell(0)
 	for _, e := range o.Events {
@@ -331,6 +350,9 @@
 	}
 	f.result.Lost += f.waits
 	for _, g := range f.gateways {
+		if !g.ready {
+			f.result.Back = max(f.result.Back, f.now-g.born)
+		}
 		f.result.Lost += len(g.open)
 	}
 	for _, zones := range f.ran {
@@ -342,7 +364,7 @@
 			f.result.Twice++
 		}
 	}
-	return f.result, nil
+	return f.result, f.err
 }
 
 // Now is the time since the start.
@@ -364,9 +386,11 @@
 	return s
 }
 
-func (f *Fleet) gateway(i int) error {
+func (f *Fleet) newGateway(i int) (*gateway, error) {
 	o := f.opt
-	g := &gateway{f: f, zone: o.Zones[i%len(o.Zones)], open: map[string]*request{}}
+	made := uint64(f.made)
+	f.made++
+	g := &gateway{f: f, number: i, zone: o.Zones[i%len(o.Zones)], open: map[string]*request{}, idle: map[string][]time.Duration{}}
 	set := logic.Settings{Zone: g.zone, Me: i, Proxies: o.Gateways, MaxAttempts: 3, ParallelTries: true, MayCancel: true, RetryAdvice: true,
 		MaxRetryAdvice: 5 * time.Second, Multiplex: 1, DrainGrace: time.Second, ColdTime: o.Warm, ColdShare: o.Share, FallMultiple: o.Fall,
 		FallTime: time.Second, Price: logic.Prices{CrossZone: 0.05}, Weights: logic.WeightNominal}
@@ -386,8 +410,8 @@
 			}
 		}
 		var err error
-		if g.book, err = zone.New(z, o.Seed+uint64(i)); err != nil {
-			return err
+		if g.book, err = zone.New(z, o.Seed+made); err != nil {
+			return nil, err
 		}
 		set.Tiers = g.book
 	case Failover:
@@ -396,12 +420,11 @@
 	var err error
 	if o.Admission != nil {
 		if set.Admission, err = o.Admission(i); err != nil {
-			return err
+			return nil, err
 		}
 	}
-	g.bal, err = logic.New(set, o.Seed*1000+uint64(i), g)
-	f.gateways = append(f.gateways, g)
-	return err
+	g.bal, err = logic.New(set, o.Seed*1000+made, g)
+	return g, err
 }
 
 // failover is the plain alternative: the own zone while it has a ready server, else the next.
@@ -441,14 +464,7 @@
 	if f.away {
 		return
 	}
-	l := make([]logic.Server, 0, len(f.order))
-	for _, s := range f.order {
-		state := logic.Running
-		if s.draining {
-			state = logic.Draining
-		}
-		l = append(l, logic.Server{ID: s.id, Zone: s.zone, Kind: "k", Weight: 1, Since: s.since, State: state})
-	}
+	l := f.list()
 	f.after(late, func() {
 		for _, s := range f.order {
 			if s.draining && s.told == 0 {
@@ -456,11 +472,26 @@
 			}
 		}
 		for _, g := range f.gateways {
-			g.bal.Fleet(f.now, logic.FleetUpdate{Kind: logic.FleetAll, Servers: l})
+			if g.ready {
+				g.bal.Fleet(f.now, logic.FleetUpdate{Kind: logic.FleetAll, Servers: l})
+			}
 		}
 	})
 }
 
+// list is the servers as they stand now.
+func (f *Fleet) list() []logic.Server {
+	l := make([]logic.Server, 0, len(f.order))
+	for _, s := range f.order {
+		state := logic.Running
+		if s.draining {
+			state = logic.Draining
+		}
+		l = append(l, logic.Server{ID: s.id, Zone: s.zone, Kind: "k", Weight: 1, Since: s.since, State: state})
+	}
+	return l
+}
+
 // Down takes a zone's servers down. Only some, where part is below 1.
 func (f *Fleet) Down(z string, how How, part float64) {
 	n := 0
@@ -626,6 +657,15 @@
 	if n.Asked++; r.home {
 		n.Home++
 	}
+	f.lead(g, r)
+}
+
+// lead brings a request to a gateway that is ready.
+func (f *Fleet) lead(g *gateway, r *request) {
+	if g = f.front(g.number); g == nil { // nobody takes its connection
+		f.answer(r, func(c *Count) { c.Failed++ }, Answer{Failed: true})
+		return
+	}
 	g.request(r)
 }
 
@@ -647,7 +687,7 @@
 func (g *gateway) Send(id, to string, _ time.Duration) {
 	f, r := g.f, g.open[id]
 	s := f.servers[to]
-	a := &attempt{r: r, n: len(r.attempts), s: s, sent: f.now}
+	a := &attempt{r: r, n: len(r.attempts), s: s, sent: f.now, extra: g.connect(to)}
 	r.attempts = append(r.attempts, a)
 	r.phase.Sends++
 	way := f.opt.Cross / 16
@@ -690,11 +730,16 @@
 		return
 	}
 	a.done = true
+	if g.dead {
+		return
+	}
+	g.keep(a, res)
 	r, done := a.r, false
 	if res == logic.Served && !r.answered {
 		done = true
-		g.answer(r, func(c *Count) {
-			took := g.f.now - r.asked
+		took := g.f.now - r.asked
+		delete(g.open, r.id)
+		g.f.answer(r, func(c *Count) {
 			c.Took = append(c.Took, took)
 			if took <= r.class.Aim {
 				if c.InTime++; r.home {
@@ -703,27 +748,22 @@
 			} else {
 				c.Late++
 			}
-			g.f.answered(r, Answer{InTime: took <= r.class.Aim, Late: took > r.class.Aim})
-		})
+		}, Answer{InTime: took <= r.class.Aim, Late: took > r.class.Aim})
 	}
 	g.bal.Outcome(g.f.now, logic.Outcome{ID: r.id, Attempt: a.n, Result: res, Took: g.f.now - a.sent, Done: done || r.answered})
 }
 
-func (g *gateway) answer(r *request, count func(*Count)) {
+// answer gives a request its one answer.
+func (f *Fleet) answer(r *request, count func(*Count), a Answer) {
 	if r.answered {
-		g.f.result.Lost++
+		f.result.Lost++
 		return
 	}
 	r.answered = true
-	delete(g.open, r.id)
-	c := r.phase.Classes[r.class.Name]
-	count(c)
+	count(r.phase.Classes[r.class.Name])
 	if r.loop {
-		g.f.again(r)
+		f.again(r)
 	}
-}
-
-func (f *Fleet) answered(r *request, a Answer) {
 	if f.opt.Watch.Answered != nil {
 		a.At, a.Took, a.Class = r.began-origin, f.now-r.asked, r.class.Name
 		f.opt.Watch.Answered(a)
@@ -735,7 +775,8 @@
 	if r == nil {
 		return
 	}
-	g.answer(r, func(c *Count) {
+	delete(g.open, id)
+	g.f.answer(r, func(c *Count) {
 		took := g.f.now - r.asked
 		if took > r.class.Aim {
 			c.FailedLate++
@@ -746,8 +787,7 @@
 		} else {
 			c.Failed++
 		}
-		g.f.answered(r, Answer{Refused: refused, Failed: !refused})
-	})
+	}, Answer{Refused: refused, Failed: !refused})
 }
 
 // Refuse answers a client, who may ask again. Its request counts as refused once it gives up.
@@ -767,7 +807,7 @@
 	r.answered = true // what is still out of it is of no use any more
 	f.after(after, func() {
 		f.waits--
-		g.request(&next)
+		f.lead(g, &next)
 	})
 }
 
@@ -792,7 +832,11 @@
 func (g *gateway) Log(string)       {}
 
 func (g *gateway) SetTimer(token uint64, after time.Duration) {
-	g.f.after(after, func() { g.bal.Timer(g.f.now, token) })
+	g.f.after(after, func() {
+		if !g.dead {
+			g.bal.Timer(g.f.now, token)
+		}
+	})
 }
 
 // ---- servers ----
@@ -871,10 +915,11 @@
 		since := s.since
 		var took time.Duration
 		if draw := a.r.class.Draw; draw != nil {
-			took = time.Duration(float64(draw(f.rng)) * s.slow / s.warmth() / s.part())
+			took = draw(f.rng)
 		} else {
-			took = time.Duration(f.rng.ExpFloat64() * float64(f.opt.Service) * s.slow / s.warmth() / s.part())
+			took = time.Duration(f.rng.ExpFloat64() * float64(f.opt.Service))
 		}
+		took = time.Duration(float64(took+a.extra) * s.slow / s.warmth() / s.part())
 		f.after(took, func() {
 			if s.since != since || s.how == Refuses {
 				return // it died meanwhile
