logic: what is worth little keeps the queue short enough for what is worth more

Lines: fits in Balancer.overloaded allowed each class a queue by its own aim, but servers have one queue for all, so the maps' aim set it. A hold is worth twice a map for a quarter of its work.

Change: what is out is held against the tightest aim of the classes that are worth more for their work.

--- a/cmd/robindrum/main_test.go
+++ b/cmd/robindrum/main_test.go
@@ -33,6 +33,9 @@
 		if first, _, _ := strings.Cut(line, "/"); strings.Contains(first, ".") && !strings.HasPrefix(line, "vendor/") {
 			t.Errorf("arrowhitch links %s", line)
 		}
+		if line == "os/exec" { // the platform refuses to start other programs
+			t.Error("arrowhitch can start programs")
+		}
 		for _, p := range []string{"internal/xds", "internal/gateway", "internal/config", "internal/route", "internal/standin", "internal/try", "internal/membership"} {
 			if strings.HasPrefix(line, "arrowhitch/"+p) {
 				t.Errorf("arrowhitch links %s", line)
@@ -43,7 +46,7 @@
 		t.Error("the list of what is linked is not one")
 	}
 	// The same look at the gateway finds them: the test can fail.
-	for _, p := range []string{"google.golang.org/grpc", "google.golang.org/protobuf/proto", "github.com/spf13/cobra", "arrowhitch/internal/xds"} {
+	for _, p := range []string{"google.golang.org/grpc", "google.golang.org/protobuf/proto", "github.com/spf13/cobra", "arrowhitch/internal/xds", "os/exec"} {
 		if !strings.Contains(deps("robindrum"), p+"\n") {
 			t.Errorf("robindrum does not link %s", p)
 		}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -558,7 +558,14 @@
 	spare = max(spare*min(float64(len(b.list))/float64(max(b.set.Proxies, 1)), 1), 1)
 	// Two thirds of the aim leave room for spread. Danger of less than the cube, or of the greater alone: with
 	// much to refuse, latency stays near the aim for as long.
-	fits := (usual*float64(r.class.Aim)/1.5/max(r.class.lat, 1) + spare) / float64(b.out-b.stuck+1)
+	// Danger: servers have one queue for all. What is worth little and may wait for long makes what is worth more late.
+	stretch := float64(r.class.Aim) / max(r.class.lat, 1)
+	for _, k := range b.classes {
+		if k.n >= minSamples && k.density(b.set.WorthByWork) > r.class.density(b.set.WorthByWork) {
+			stretch = min(stretch, float64(k.Aim)/max(k.lat, 1))
+		}
+	}
+	fits := (usual*stretch/1.5 + spare) / float64(b.out-b.stuck+1)
 	p = 1 - (1-max(p, 0))*min(fits*fits*fits, 1)
 	odds := p / worth / b.value.mean(1/worth, 0)
 	// Danger: with everything refused nothing is learnt, and the overload never ends.
--- a/logic/state.go
+++ b/logic/state.go
@@ -65,6 +65,14 @@
 	n        float64
 }
 
+// density is the worth of a request over the work that it takes.
+func (c *class) density(byWork bool) float64 {
+	if byWork {
+		return c.Worth
+	}
+	return c.Worth / max(c.lat, 1)
+}
+
 // learn takes the latency of a served attempt.
 func (c *class) learn(took float64) {
 	c.n++
--- a/logic/subset_test.go
+++ b/logic/subset_test.go
@@ -155,3 +155,38 @@
 		}
 	}
 }
+
+// Servers have one queue for all classes. What is worth little for its work and may wait for long is refused before it
+// makes what is worth more late; where there is nothing worth more it may wait.
+func TestQueueIsKeptForWhatIsWorthMore(t *testing.T) {
+	for _, c := range []struct {
+		holds       bool
+		least, most float64 // part of the maps refused
+	}{{true, 0.5, 0.95}, {false, 0, 0.05}} {
+		set := settings()
+		set.Classes = []Class{{Name: "map", Aim: time.Second, Deadline: 2 * time.Second, Worth: 1},
+			{Name: "hold", Aim: 150 * ms, Deadline: time.Second, Worth: 2}}
+		b, _ := start(t, set, oneZone(8))
+		now := time.Second
+		for i := range 600 { // 100 a second, in time all of them
+			now += 10 * ms
+			name, took := "map", 100*ms
+			if c.holds && i%2 == 1 {
+				name, took = "hold", 80*ms
+			}
+			id := fmt.Sprint(i)
+			b.Request(now, Request{ID: id, Class: name, Left: time.Second})
+			end(b, now, id, Served, took)
+		}
+		b.out = int(3 * b.usualOut(now)) // each takes three times its time now: 300 ms, 240 ms
+		refused := 0.0
+		for range 1000 {
+			if b.overloaded(now, &request{class: b.classes["map"]}) {
+				refused++
+			}
+		}
+		if part := refused / 1000; part < c.least || part > c.most {
+			t.Errorf("holds %v: %.2f of the maps are refused, want %v to %v", c.holds, part, c.least, c.most)
+		}
+	}
+}
