lease: the state machine of leases, pure, with fencing tokens and every order of events

A table is restored from its stored form or refused.

An exhaustive walk of three members and two leases, four events deep, finds no two holders; with the holder counting from the answer's arrival, or a new leader going on with the old readings, it does. A property test holds it against a model; stored tables are fuzzed. Nothing uses it yet.

--- /dev/null
+++ b/internal/lease/lease.go
@@ -0,0 +1,382 @@
+// Package lease is the state machine of leases that a quorum applies: who may do what only one process may do, with which
+// fencing token. It has no clock, no I/O and no goroutine.
+//
+// Time is the reading of the leader's monotonic clock that a command carries. Readings of different leaders have nothing
+// to do with each other: a command Lead begins each term, and counts every lease that is held anew from its reading on,
+// as nobody knows how much of it is left. So a lease is never given away before its whole length has passed on the
+// clock of one leader.
+//
+// Safety does not rest on any clock. Each grant has a token that is higher than all before it, over all names, and whoever
+// receives an act of a holder refuses one with a token older than the highest it has seen (see Fence).
+//
+// The same commands give the same state and results on every replica. A Table must be used by one goroutine at a time.
+package lease
+
+import (
+	"cmp"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+// Bounds of a table. Danger: names and members come from outside, and the table is in every snapshot.
+const (
+	mostLeases  = 1024
+	mostWaiters = 1024 // of one lease
+	mostName    = 128  // bytes
+	// LeastLength and MostLength bound how long a lease is.
+	LeastLength = 100 * time.Millisecond
+	MostLength  = time.Hour
+)
+
+// Member is a process that asks for leases. Births of one name rise with each start of its process.
+type Member struct {
+	Name  string `json:"name"`
+	Birth uint64 `json:"birth"`
+	Site  string `json:"site,omitempty"`
+	Load  int    `json:"load,omitempty"` // duties that it has; the least loaded is preferred
+}
+
+func (m Member) is(o Member) bool { return m.Name == o.Name && m.Birth == o.Birth }
+
+// Rules are of one lease, given when it is asked for the first time.
+type Rules struct {
+	Length time.Duration `json:"length"`
+	// Site is preferred; empty: none is.
+	Site string `json:"site,omitempty"`
+	// Patience is how long one who waits may be passed over by preference; then the longest in line is next.
+	Patience time.Duration `json:"patience,omitempty"`
+	// Floor is the least time between two grants to different holders, against flapping.
+	Floor time.Duration `json:"floor,omitempty"`
+}
+
+func (r Rules) check() error {
+	switch {
+	case r.Length < LeastLength || r.Length > MostLength:
+		return fmt.Errorf("length: want %v to %v, not %v", LeastLength, MostLength, r.Length)
+	case r.Patience < 0 || r.Patience > MostLength:
+		return fmt.Errorf("patience: want 0 to %v, not %v", MostLength, r.Patience)
+	case r.Floor < 0 || r.Floor > MostLength:
+		return fmt.Errorf("floor: want 0 to %v, not %v", MostLength, r.Floor)
+	case len(r.Site) > mostName:
+		return fmt.Errorf("site: %d bytes, %d at most", len(r.Site), mostName)
+	}
+	return nil
+}
+
+// Grant is what a holder is told. Its time counts from when it sent what was granted, never from when it heard of it.
+type Grant struct {
+	Token  uint64        `json:"token"`
+	Length time.Duration `json:"length"`
+}
+
+// What an asker may be told.
+var (
+	// ErrWaiting is that another one holds it; the asker stands in line for as long as it goes on asking.
+	ErrWaiting = errors.New("another one holds it")
+	// ErrLost is that the lease is not the asker's, or not with this token.
+	ErrLost = errors.New("the lease is not held with this token")
+	// ErrOld is that a process of the same name with a later birth is known.
+	ErrOld = errors.New("a later process of this name is known")
+	// ErrTerm is that the command is of a leader that is none any more.
+	ErrTerm = errors.New("of an earlier term")
+	// ErrFull is that a bound of the table is reached.
+	ErrFull = errors.New("the table is full")
+)
+
+// Waiter stands in line.
+type Waiter struct {
+	Member Member        `json:"member"`
+	Since  time.Duration `json:"since"`
+	Asked  time.Duration `json:"asked"` // for the last time
+}
+
+// Lease is one name's. Its holder's name is empty where nobody has it.
+type Lease struct {
+	Rules   Rules         `json:"rules"`
+	Holder  Member        `json:"holder"`
+	Token   uint64        `json:"token"`             // of the last grant
+	Until   time.Duration `json:"until"`             // may not be given away before
+	Granted time.Duration `json:"granted"`           // the last time to another holder
+	Revoked bool          `json:"revoked,omitempty"` // no renewal; it is given away when its time is over
+	Heir    string        `json:"heir,omitempty"`    // whom it was left to
+	Line    []Waiter      `json:"line,omitempty"`
+}
+
+// Table is all leases.
+type Table struct {
+	Term   uint64            `json:"term"`
+	Now    time.Duration     `json:"now"` // the latest reading of the term
+	Last   uint64            `json:"last_token"`
+	Leases map[string]*Lease `json:"leases"`
+	Births map[string]uint64 `json:"births"` // the latest of each name that holds or waits
+}
+
+// NewTable makes an empty table.
+func NewTable() *Table {
+	return &Table{Leases: map[string]*Lease{}, Births: map[string]uint64{}}
+}
+
+// Restore reads a table as encoding/json wrote it. One that no commands can have made is an error: a token that was given
+// out twice would undo what fencing is for.
+func Restore(text []byte) (*Table, error) {
+	t := NewTable()
+	if err := json.Unmarshal(text, t); err != nil {
+		return nil, fmt.Errorf("leases: %w", err)
+	}
+	if t.Leases == nil || t.Births == nil || len(t.Leases) > mostLeases || t.Last == math.MaxUint64 || t.Term == math.MaxUint64 {
+		return nil, errors.New("leases: not a table")
+	}
+	for name, l := range t.Leases {
+		if l == nil || name == "" || len(name) > mostName || len(l.Line) > mostWaiters {
+			return nil, fmt.Errorf("leases: %q is no lease", name)
+		}
+		if err := l.Rules.check(); err != nil {
+			return nil, fmt.Errorf("leases: %q: %w", name, err)
+		}
+		if l.Token > t.Last {
+			return nil, fmt.Errorf("leases: %q has token %d, the last one given out is %d", name, l.Token, t.Last)
+		}
+	}
+	return t, nil
+}
+
+// Lead begins a term. Every lease that is held, and every floor, counts from now on.
+func (t *Table) Lead(term uint64, now time.Duration) error {
+	if term <= t.Term {
+		return ErrTerm
+	}
+	before := t.Now
+	t.Term, t.Now = term, now
+	for _, l := range t.Leases {
+		l.Until, l.Granted = now+l.Rules.Length, now
+		for i := range l.Line { // who waited keeps its place and what it waited
+			w := &l.Line[i]
+			w.Since, w.Asked = now-(before-w.Since), now
+		}
+	}
+	return nil
+}
+
+// at takes a command's reading of the clock; one that goes back counts as the latest, so that time never does.
+func (t *Table) at(term uint64, now time.Duration) error {
+	if term != t.Term {
+		return ErrTerm
+	}
+	t.Now = max(t.Now, now)
+	return nil
+}
+
+// known takes the birth of a member that asks.
+func (t *Table) known(m Member) error {
+	if m.Name == "" || len(m.Name) > mostName || len(m.Site) > mostName {
+		return fmt.Errorf("member: a name of %d and a site of %d bytes, want 1 to %d", len(m.Name), len(m.Site), mostName)
+	}
+	if b, ok := t.Births[m.Name]; ok && m.Birth < b {
+		return ErrOld
+	}
+	return nil
+}
+
+// Acquire asks for a lease, or for the same once more where the answer was lost: its holder gets the token that it has.
+// rules count where the lease is new. A process that has restarted waits like any other, as nobody knows whether the
+// one before it still acts.
+func (t *Table) Acquire(term uint64, now time.Duration, name string, rules Rules, m Member) (Grant, error) {
+	if err := t.at(term, now); err != nil {
+		return Grant{}, err
+	}
+	if err := errors.Join(rules.check(), t.known(m)); err != nil {
+		return Grant{}, err
+	}
+	l := t.Leases[name]
+	if l == nil {
+		if name == "" || len(name) > mostName || len(t.Leases) >= mostLeases {
+			return Grant{}, fmt.Errorf("lease %q: %w", name, ErrFull)
+		}
+		l = &Lease{Rules: rules, Granted: t.Now - rules.Floor}
+		t.Leases[name] = l
+	}
+	t.free(l)
+	if l.Holder.is(m) && !l.Revoked {
+		return t.renew(l), nil
+	}
+	if !t.wait(l, m) {
+		return Grant{}, fmt.Errorf("the line of %q: %w", name, ErrFull)
+	}
+	t.Births[m.Name] = m.Birth
+	if next := t.next(l); next >= 0 && l.Line[next].Member.is(m) {
+		return t.grant(l, next), nil
+	}
+	return Grant{}, ErrWaiting
+}
+
+// wait puts m in line, or notes that it asked again. A later birth takes the place of an earlier one.
+func (t *Table) wait(l *Lease, m Member) bool {
+	for i := range l.Line {
+		if w := &l.Line[i]; w.Member.Name == m.Name {
+			if w.Member.Birth != m.Birth {
+				w.Since = t.Now
+			}
+			w.Member, w.Asked = m, t.Now
+			return true
+		}
+	}
+	if len(l.Line) >= mostWaiters {
+		return false
+	}
+	l.Line = append(l.Line, Waiter{Member: m, Since: t.Now, Asked: t.Now})
+	return true
+}
+
+// free takes a lease from a holder whose time is over, and drops who has not asked for a length.
+func (t *Table) free(l *Lease) {
+	if l.Holder.Name != "" && t.Now >= l.Until {
+		l.Holder, l.Revoked = Member{}, false
+	}
+	l.Line = slices.DeleteFunc(l.Line, func(w Waiter) bool { return t.Now-w.Asked > l.Rules.Length })
+}
+
+// next is who gets a lease that is free, by place in line; -1: nobody yet. An heir is first; then whoever has waited for
+// longer than the patience, the longest first; then the preferred site, the least loaded, the longest in line.
+func (t *Table) next(l *Lease) int {
+	if l.Holder.Name != "" || len(l.Line) == 0 {
+		return -1
+	}
+	heir := slices.IndexFunc(l.Line, func(w Waiter) bool { return w.Member.Name == l.Heir })
+	if l.Heir != "" && heir >= 0 {
+		return heir
+	}
+	if t.Now-l.Granted < l.Rules.Floor || l.Heir != "" && t.Now < l.Until { // an heir has a length to come
+		return -1
+	}
+	best := 0
+	for i := range l.Line {
+		if t.before(l, &l.Line[i], &l.Line[best]) {
+			best = i
+		}
+	}
+	return best
+}
+
+func (t *Table) before(l *Lease, a, b *Waiter) bool {
+	late := func(w *Waiter) int {
+		if t.Now-w.Since > l.Rules.Patience {
+			return 0
+		}
+		return 1
+	}
+	if x, y := late(a), late(b); x != y || x == 0 {
+		return cmp.Or(cmp.Compare(x, y), cmp.Compare(a.Since, b.Since)) < 0
+	}
+	away := func(w *Waiter) int {
+		if l.Rules.Site != "" && w.Member.Site != l.Rules.Site {
+			return 1
+		}
+		return 0
+	}
+	return cmp.Or(cmp.Compare(away(a), away(b)), cmp.Compare(a.Member.Load, b.Member.Load), cmp.Compare(a.Since, b.Since)) < 0
+}
+
+// grant gives a lease to one in line, under a new token.
+func (t *Table) grant(l *Lease, i int) Grant {
+	l.Holder = l.Line[i].Member
+	l.Line = slices.Delete(l.Line, i, i+1)
+	t.Last++
+	l.Token, l.Granted, l.Heir, l.Revoked = t.Last, t.Now, "", false
+	return t.renew(l)
+}
+
+func (t *Table) renew(l *Lease) Grant {
+	l.Until = t.Now + l.Rules.Length
+	return Grant{Token: l.Token, Length: l.Rules.Length}
+}
+
+// held gives a lease that m has with a token.
+func (t *Table) held(term uint64, now time.Duration, name string, m Member, token uint64) (*Lease, error) {
+	if err := t.at(term, now); err != nil {
+		return nil, err
+	}
+	l := t.Leases[name]
+	if l == nil || !l.Holder.is(m) || l.Token != token {
+		return nil, ErrLost
+	}
+	return l, nil
+}
+
+// Renew has the lease last for its length from now on. Once its time is over it is lost, also where nobody else has
+// asked: its holder has stopped by its own count, and asks anew.
+func (t *Table) Renew(term uint64, now time.Duration, name string, m Member, token uint64) (Grant, error) {
+	l, err := t.held(term, now, name, m, token)
+	if err != nil {
+		return Grant{}, err
+	}
+	switch t.free(l); {
+	case l.Holder.Name == "", l.Revoked:
+		return Grant{}, ErrLost
+	case t.Births[m.Name] > m.Birth: // its process has been started again, or its name stands in two files
+		return Grant{}, ErrOld
+	}
+	return t.renew(l), nil
+}
+
+// Release gives a lease back, by a holder that has stopped. heir, if not empty, is who is to have it next: it has a length
+// to ask for it before others are considered. Released once more, nothing changes.
+func (t *Table) Release(term uint64, now time.Duration, name string, m Member, token uint64, heir string) error {
+	l, err := t.held(term, now, name, m, token)
+	switch {
+	case errors.Is(err, ErrLost):
+		return nil
+	case err != nil:
+		return err
+	case len(heir) > mostName:
+		return fmt.Errorf("heir: %d bytes, %d at most", len(heir), mostName)
+	}
+	l.Holder, l.Revoked, l.Heir = Member{}, false, heir
+	l.Until = t.Now
+	if heir != "" {
+		l.Until = t.Now + l.Rules.Length
+	}
+	return nil
+}
+
+// Revoke has a lease end with the length that its holder was granted last: it is not renewed any more. Nobody can take it
+// from a holder that does not hear of it sooner.
+func (t *Table) Revoke(term uint64, now time.Duration, name string) error {
+	if err := t.at(term, now); err != nil {
+		return err
+	}
+	l := t.Leases[name]
+	if l == nil || l.Holder.Name == "" {
+		return ErrLost
+	}
+	l.Revoked = true
+	return nil
+}
+
+// Forget drops leases that nobody holds or waits for, and births of names that are in no lease. Tokens go on rising.
+// Danger: a later process's birth is forgotten with it, and an earlier one that still runs may ask again; it gets a
+// new token like any other.
+func (t *Table) Forget(term uint64, now time.Duration) error {
+	if err := t.at(term, now); err != nil {
+		return err
+	}
+	named := map[string]bool{}
+	for _, name := range slices.Collect(maps.Keys(t.Leases)) {
+		l := t.Leases[name]
+		t.free(l)
+		if l.Holder.Name == "" && len(l.Line) == 0 && t.Now >= l.Until && t.Now-l.Granted >= l.Rules.Floor {
+			delete(t.Leases, name)
+			continue
+		}
+		named[l.Holder.Name] = true
+		for _, w := range l.Line {
+			named[w.Member.Name] = true
+		}
+	}
+	maps.DeleteFunc(t.Births, func(name string, _ uint64) bool { return !named[name] })
+	return nil
+}
--- /dev/null
+++ b/internal/lease/lease_test.go
@@ -0,0 +1,400 @@
+package lease
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const ms = time.Millisecond
+
+var rules = Rules{Length: 400 * ms}
+
+// world is members, a table and what each member believes, on one true clock. Each leader's clock is its own.
+type world struct {
+	Table  *Table
+	True   time.Duration
+	Offset time.Duration // of the leader's clock
+	Births [3]uint64
+	Holds  [3][2]Holder
+	// Safeguards that are off: a holder counts from when the answer came; a new leader does not count anew.
+	careless, goesOn bool
+}
+
+func (w *world) member(i int) Member   { return Member{Name: fmt.Sprint("m", i), Birth: w.Births[i]} }
+func (w *world) leader() time.Duration { return w.True + w.Offset }
+func name(l int) string                { return fmt.Sprint("l", l) }
+
+func newWorld() *world {
+	w := &world{Table: NewTable(), Births: [3]uint64{1, 1, 1}}
+	_ = w.Table.Lead(1, 0)
+	return w
+}
+
+// clone copies it.
+func (w *world) clone() *world {
+	c := *w
+	t := *w.Table
+	c.Table, t.Leases, t.Births = &t, map[string]*Lease{}, maps.Clone(t.Births)
+	for name, l := range w.Table.Leases {
+		l := *l
+		l.Line = slices.Clone(l.Line)
+		t.Leases[name] = &l
+	}
+	return &c
+}
+
+func (w *world) granted(i, l int, g Grant, sent time.Duration) {
+	if w.careless {
+		sent = w.True
+	}
+	w.Holds[i][l].Granted(sent, g)
+}
+
+// step does one of the things that can happen; n is which.
+func (w *world) step(n int) (tokens []uint64) {
+	const each = 6 // things that a member can do with a lease
+	if n < 3*2*each {
+		i, l, what := n/each/2, n/each%2, n%each
+		sent := w.True
+		token, holds := w.Holds[i][l].Token(sent)
+		switch what {
+		case 0, 1, 5:
+			g, err := w.Table.Acquire(w.Table.Term, w.leader(), name(l), rules, w.member(i))
+			if err == nil {
+				tokens = append(tokens, g.Token)
+			}
+			if what == 5 { // the answer is late
+				w.True += 300 * ms
+			}
+			if err == nil && what != 1 { // 1: it is lost
+				w.granted(i, l, g, sent)
+			}
+		case 2:
+			if holds {
+				g, err := w.Table.Renew(w.Table.Term, w.leader(), name(l), w.member(i), token)
+				if err == nil {
+					w.granted(i, l, g, sent)
+				} else {
+					w.Holds[i][l].Lost()
+				}
+			}
+		case 3:
+			if holds {
+				w.Holds[i][l].Lost() // it stops before it says so
+				_ = w.Table.Release(w.Table.Term, w.leader(), name(l), w.member(i), token, w.member((i+1)%3).Name)
+			}
+		case 4: // its process is started again
+			w.Births[i]++
+			w.Holds[i] = [2]Holder{}
+		}
+		return tokens
+	}
+	switch n -= 3 * 2 * each; n {
+	case 0:
+		w.True += 100 * ms
+	case 1:
+		w.True += 400 * ms
+	case 2: // another leader, whose clock is ahead by far
+		w.Offset += 10 * time.Second
+		if w.goesOn {
+			w.Table.Term++
+			return nil
+		}
+		_ = w.Table.Lead(w.Table.Term+1, w.leader())
+	case 3:
+		_ = w.Table.Revoke(w.Table.Term, w.leader(), name(0))
+	}
+	return nil
+}
+
+const steps = 3*2*6 + 4
+
+// two gives the lease that two members believe to have at once, or -1.
+func (w *world) two() int {
+	for l := range 2 {
+		n := 0
+		for i := range 3 {
+			if _, ok := w.Holds[i][l].Token(w.True); ok {
+				n++
+			}
+		}
+		if n > 1 {
+			return l
+		}
+	}
+	return -1
+}
+
+// walk visits all that can happen in so many steps, each state once, and gives how many and what broke first.
+func walk(from *world, depth int) (states int, broken string) {
+	type node struct {
+		w    *world
+		path string
+	}
+	key := func(w *world) string {
+		b := fmt.Appendf(nil, "%d %d %d %v %v", w.True, w.Table.Term, w.Table.Last, w.Births, w.Holds)
+		for l := range 2 {
+			if l := w.Table.Leases[name(l)]; l != nil {
+				b = fmt.Appendf(b, "%v", *l)
+			}
+		}
+		return string(b)
+	}
+	seen := map[string]bool{key(from): true}
+	level := []node{{from, ""}}
+	for range depth {
+		var next []node
+		for _, n := range level {
+			for s := range steps {
+				w := n.w.clone()
+				last := w.Table.Last
+				for _, token := range w.step(s) {
+					if token > w.Table.Last || token == 0 || token <= last && w.Table.Last > last {
+						return len(seen), fmt.Sprintf("%s %d: token %d after %d", n.path, s, token, last)
+					}
+				}
+				if l := w.two(); l >= 0 {
+					return len(seen), fmt.Sprintf("%s %d: two hold lease %d", n.path, s, l)
+				}
+				if k := key(w); !seen[k] {
+					seen[k] = true
+					next = append(next, node{w, fmt.Sprint(n.path, " ", s)})
+				}
+			}
+		}
+		level = next
+	}
+	return len(seen), ""
+}
+
+// All orders of grant, loss, expiry, release, restart and leader change of three members and two leases, four deep: never
+// do two of them hold one lease by their own count, and tokens only rise. With the count from the answer's arrival, or
+// with a new leader that goes on counting, the same walk finds two.
+func TestEveryOrder(t *testing.T) {
+	// What comes first is an asking, and names do not matter: the first member's for the first lease stands for all.
+	total := 0
+	for _, first := range []int{0, 1, 5} {
+		w := newWorld()
+		w.step(first)
+		states, broken := walk(w, 3)
+		if total += states; broken != "" {
+			t.Errorf("after %d: %s", first, broken)
+		}
+	}
+	if t.Logf("%d states", total); total < 10_000 {
+		t.Errorf("%d states only", total)
+	}
+	careless := newWorld()
+	careless.careless = true
+	if _, broken := walk(careless, 3); broken == "" {
+		t.Error("a holder that counts from when the answer came is not found out")
+	}
+	forgetful := newWorld()
+	forgetful.goesOn = true
+	if _, broken := walk(forgetful, 3); broken == "" {
+		t.Error("a leader that goes on with the readings of the one before is not found out")
+	}
+}
+
+// Any commands with any readings: one holder at the table's own count, tokens that rise, a waiter that goes on asking is
+// served, and a stored table goes on as the one it was.
+func TestAnyCommands(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table, now, term := NewTable(), time.Duration(0), uint64(1)
+		_ = table.Lead(term, 0)
+		r := Rules{Length: rapid.SampledFrom([]time.Duration{LeastLength, time.Second}).Draw(t, "length"),
+			Site: rapid.SampledFrom([]string{"", "a"}).Draw(t, "site"), Patience: 2 * time.Second,
+			Floor: rapid.SampledFrom([]time.Duration{0, 3 * time.Second}).Draw(t, "floor")}
+		last, holder, until := uint64(0), Member{}, time.Duration(0) // the model
+		for range 200 {
+			now += time.Duration(rapid.IntRange(0, 300).Draw(t, "passes")) * ms
+			m := Member{Name: rapid.SampledFrom([]string{"x", "y", "z"}).Draw(t, "who"), Birth: uint64(rapid.IntRange(1, 2).Draw(t, "birth")),
+				Site: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "at"), Load: rapid.IntRange(0, 2).Draw(t, "load")}
+			var g Grant
+			var err error
+			switch rapid.IntRange(0, 5).Draw(t, "what") {
+			case 0, 1:
+				g, err = table.Acquire(term, now, "l", r, m)
+			case 2:
+				if g, err = table.Renew(term, now, "l", m, last); err == nil && !m.is(holder) {
+					t.Fatalf("%v renewed what %v has", m, holder)
+				}
+			case 3:
+				if m.is(holder) && now < until {
+					if err := table.Release(term, now, "l", m, last, ""); err != nil {
+						t.Fatal(err)
+					}
+					holder, until = Member{}, now
+				}
+				err = ErrLost
+			case 4:
+				term++
+				over := now >= until // by the clock of the leader before; the table may have it go on
+				now = time.Duration(rapid.IntRange(0, 1000).Draw(t, "clock")) * time.Second
+				if err := table.Lead(term, now); err != nil {
+					t.Fatal(err)
+				}
+				if until = now + r.Length; over {
+					until = now
+				}
+				if _, err := table.Acquire(term-1, now, "l", r, m); !errors.Is(err, ErrTerm) {
+					t.Fatalf("a leader of the term before: %v", err)
+				}
+				err = ErrLost
+			case 5:
+				if err := table.Forget(term, now); err != nil {
+					t.Fatal(err)
+				}
+				text, _ := json.Marshal(table)
+				if table, err = Restore(text); err != nil {
+					t.Fatal(err)
+				}
+				err = ErrLost
+			}
+			if err != nil {
+				continue
+			}
+			if g.Token != last { // to another, or anew
+				if g.Token < last || holder.Name != "" && now < until {
+					t.Fatalf("at %v %v got token %d; %v has %d until %v", now, m, g.Token, holder, last, until)
+				}
+			} else if !m.is(holder) {
+				t.Fatalf("%v has the token of %v", m, holder)
+			}
+			last, holder, until = g.Token, m, now+r.Length
+		}
+		for range 100 { // one who goes on asking, as the only one, is served
+			now += r.Length / 2
+			if _, err := table.Acquire(term, now, "l", r, Member{Name: "w", Birth: 1}); err == nil {
+				return
+			}
+		}
+		t.Fatal("one who waits is never served")
+	})
+}
+
+// Who is next: the heir, then who has waited for longer than the patience, then the site, the load, the place in line.
+func TestWhoIsNext(t *testing.T) {
+	r := Rules{Length: time.Second, Site: "a", Patience: 3 * time.Second}
+	for name, c := range map[string]struct {
+		line []Member
+		heir string
+		ages []time.Duration // when each began to ask, from 0
+		want string
+	}{
+		"site":     {[]Member{{Name: "x", Site: "b"}, {Name: "y", Site: "a", Load: 5}}, "", []time.Duration{0, 0}, "y"},
+		"load":     {[]Member{{Name: "x", Site: "a", Load: 2}, {Name: "y", Site: "a", Load: 1}}, "", []time.Duration{0, 0}, "y"},
+		"longest":  {[]Member{{Name: "x", Site: "a"}, {Name: "y", Site: "a"}}, "", []time.Duration{0, 500 * ms}, "x"},
+		"heir":     {[]Member{{Name: "x", Site: "a"}, {Name: "y", Site: "b", Load: 9}}, "y", []time.Duration{0, 500 * ms}, "y"},
+		"patience": {[]Member{{Name: "x", Site: "b", Load: 9}, {Name: "y", Site: "a"}}, "", []time.Duration{0, 3500 * ms}, "x"},
+	} {
+		table := NewTable()
+		_ = table.Lead(1, 0)
+		h := Member{Name: "h", Birth: 1, Site: "a"}
+		g, err := table.Acquire(1, 0, "l", r, h)
+		if err != nil {
+			t.Fatal(err)
+		}
+		at := time.Duration(0)
+		for ; at < 4*time.Second; at += 500 * ms {
+			if _, err := table.Renew(1, at, "l", h, g.Token); err != nil {
+				t.Fatal(err)
+			}
+			for i, m := range c.line {
+				if m.Birth = 1; at >= c.ages[i] && (at < time.Second || len(name) == 8) {
+					if _, err := table.Acquire(1, at, "l", r, m); !errors.Is(err, ErrWaiting) {
+						t.Fatalf("%s: %v", name, err)
+					}
+				}
+			}
+			if at == 500*ms && len(name) < 8 {
+				break
+			}
+		}
+		for range 2 { // released twice
+			if err := table.Release(1, at, "l", h, g.Token, c.heir); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for _, m := range []int{1, 0, 1} {
+			m := c.line[m]
+			m.Birth = 1
+			if g, err := table.Acquire(1, at, "l", r, m); err == nil && (m.Name != c.want || g.Token != 2) {
+				t.Errorf("%s: %s got it with token %d", name, m.Name, g.Token)
+			}
+		}
+		if got := table.Leases["l"].Holder.Name; got != c.want {
+			t.Errorf("%s: %q has it, want %s", name, got, c.want)
+		}
+	}
+}
+
+// A revoked lease is not renewed and not given away before its time; a restarted process waits out the one before it,
+// which cannot renew any more; receivers refuse what is older than the highest seen.
+func TestRevokedRestartedFenced(t *testing.T) {
+	table := NewTable()
+	_ = table.Lead(1, 0)
+	old, young, other := Member{Name: "x", Birth: 1}, Member{Name: "x", Birth: 2}, Member{Name: "y", Birth: 1}
+	g, _ := table.Acquire(1, 0, "l", rules, old)
+	if _, err := table.Acquire(1, 100*ms, "l", rules, young); !errors.Is(err, ErrWaiting) {
+		t.Errorf("a restarted process: %v", err)
+	}
+	if _, err := table.Renew(1, 100*ms, "l", old, g.Token); !errors.Is(err, ErrOld) {
+		t.Errorf("the process before it renews: %v", err)
+	}
+	if _, err := table.Acquire(1, 100*ms, "m", rules, old); !errors.Is(err, ErrOld) {
+		t.Errorf("the process before it asks for another: %v", err)
+	}
+	g2, err := table.Acquire(1, 400*ms, "l", rules, young)
+	if err != nil || g2.Token <= g.Token {
+		t.Fatalf("%+v %v", g2, err)
+	}
+	if err := table.Revoke(1, 500*ms, "l"); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := table.Renew(1, 500*ms, "l", young, g2.Token); !errors.Is(err, ErrLost) {
+		t.Errorf("revoked, and renewed: %v", err)
+	}
+	if _, err := table.Acquire(1, 799*ms, "l", rules, other); !errors.Is(err, ErrWaiting) {
+		t.Errorf("revoked, and given away at once: %v", err)
+	}
+	if _, err := table.Acquire(1, 800*ms, "l", rules, other); err != nil {
+		t.Errorf("revoked, and never given away: %v", err)
+	}
+	f := Fence{}
+	for i, c := range []struct {
+		token uint64
+		want  bool
+	}{{0, false}, {1, true}, {1, true}, {3, true}, {2, false}, {3, true}} {
+		if f.Admit(c.token) != c.want {
+			t.Errorf("act %d with token %d: want %v", i, c.token, c.want)
+		}
+	}
+}
+
+// Whatever is stored, it is refused or goes on: no command panics, and tokens rise.
+func FuzzRestore(f *testing.F) {
+	f.Add([]byte(`{"term":1,"now":5,"last_token":2,"leases":{"l":{"rules":{"length":400000000},"holder":{"name":"x","birth":1},"token":2,"until":9}},"births":{"x":1}}`))
+	f.Add([]byte(`{"leases":{"l":null}}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		table, err := Restore(text)
+		if err != nil {
+			return
+		}
+		last := table.Last
+		_ = table.Lead(table.Term+1, 0)
+		for at := time.Duration(0); at < 3*time.Hour; at += time.Hour {
+			if g, err := table.Acquire(table.Term, at, "l", rules, Member{Name: "z", Birth: 1 << 63}); err == nil && g.Token <= last {
+				t.Fatalf("token %d after %d", g.Token, last)
+			}
+		}
+		_ = table.Forget(table.Term, 0)
+	})
+}
