--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -282,56 +282,29 @@
 
 // Who is next: the heir, then who has waited for longer than the patience, then the site, the load, the place in line.
 func TestWhoIsNext(t *testing.T) {
-	r := Rules{Length: time.Second, Site: "a", Patience: 3 * time.Second}
+	const sec = time.Second
+	member := func(name, site string, load int, since time.Duration) Waiter {
+		return Waiter{Member: Member{Name: name, Site: site, Load: load}, Since: since, Asked: 10 * sec}
+	}
 	for name, c := range map[string]struct {
-		line []Member
-		heir string
-		ages []time.Duration // when each began to ask, from 0
-		want string
+		x, y  Waiter
+		heir  string
+		floor time.Duration
+		want  int
 	}{
-		"site":     {[]Member{{Name: "x", Site: "b"}, {Name: "y", Site: "a", Load: 5}}, "", []time.Duration{0, 0}, "y"},
-		"load":     {[]Member{{Name: "x", Site: "a", Load: 2}, {Name: "y", Site: "a", Load: 1}}, "", []time.Duration{0, 0}, "y"},
-		"longest":  {[]Member{{Name: "x", Site: "a"}, {Name: "y", Site: "a"}}, "", []time.Duration{0, 500 * ms}, "x"},
-		"heir":     {[]Member{{Name: "x", Site: "a"}, {Name: "y", Site: "b", Load: 9}}, "y", []time.Duration{0, 500 * ms}, "y"},
-		"patience": {[]Member{{Name: "x", Site: "b", Load: 9}, {Name: "y", Site: "a"}}, "", []time.Duration{0, 3500 * ms}, "x"},
+		"site":              {member("x", "b", 0, 9*sec), member("y", "a", 5, 9*sec), "", 0, 1},
+		"load":              {member("x", "a", 2, 9*sec), member("y", "a", 1, 9*sec), "", 0, 1},
+		"place":             {member("x", "a", 1, 8*sec), member("y", "a", 1, 9*sec), "", 0, 0},
+		"heir":              {member("x", "a", 0, 8*sec), member("y", "b", 9, 9*sec), "y", 5 * sec, 1},
+		"heir is away":      {member("x", "a", 0, 8*sec), member("y", "a", 0, 9*sec), "z", 0, -1},
+		"patience":          {member("x", "b", 9, 6*sec), member("y", "a", 0, 9*sec), "", 0, 0},
+		"both are too long": {member("x", "a", 0, 6*sec), member("y", "b", 9, 5*sec), "", 0, 1},
+		"floor":             {member("x", "a", 0, 8*sec), member("y", "a", 0, 9*sec), "", 5 * sec, -1},
 	} {
-		table := NewTable()
-		_ = table.Lead(1, 0)
-		h := Member{Name: "h", Birth: 1, Site: "a"}
-		g, err := table.Acquire(1, 0, "l", r, h)
-		if err != nil {
-			t.Fatal(err)
-		}
-		at := time.Duration(0)
-		for ; at < 4*time.Second; at += 500 * ms {
-			if _, err := table.Renew(1, at, "l", h, g.Token); err != nil {
-				t.Fatal(err)
-			}
-			for i, m := range c.line {
-				if m.Birth = 1; at >= c.ages[i] && (at < time.Second || len(name) == 8) {
-					if _, err := table.Acquire(1, at, "l", r, m); !errors.Is(err, ErrWaiting) {
-						t.Fatalf("%s: %v", name, err)
-					}
-				}
-			}
-			if at == 500*ms && len(name) < 8 {
-				break
-			}
-		}
-		for range 2 { // released twice
-			if err := table.Release(1, at, "l", h, g.Token, c.heir); err != nil {
-				t.Fatal(err)
-			}
-		}
-		for _, m := range []int{1, 0, 1} {
-			m := c.line[m]
-			m.Birth = 1
-			if g, err := table.Acquire(1, at, "l", r, m); err == nil && (m.Name != c.want || g.Token != 2) {
-				t.Errorf("%s: %s got it with token %d", name, m.Name, g.Token)
-			}
-		}
-		if got := table.Leases["l"].Holder.Name; got != c.want {
-			t.Errorf("%s: %q has it, want %s", name, got, c.want)
+		table := &Table{Now: 10 * sec}
+		l := &Lease{Rules: Rules{Length: sec, Site: "a", Patience: 3 * sec, Floor: c.floor}, Granted: 6 * sec, Until: 11 * sec, Heir: c.heir, Line: []Waiter{c.x, c.y}}
+		if got := table.next(l); got != c.want {
+			t.Errorf("%s: %d is next, want %d", name, got, c.want)
 		}
 	}
 }
@@ -368,6 +341,15 @@
 	if _, err := table.Acquire(1, 800*ms, "l", rules, other); err != nil {
 		t.Errorf("revoked, and never given away: %v", err)
 	}
+	g3, _ := table.Acquire(1, 800*ms, "l", rules, other)
+	for range 2 { // released twice: the second one takes nothing from who came after
+		if err := table.Release(1, 900*ms, "l", other, g3.Token, ""); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := table.Acquire(1, 900*ms, "l", rules, young); err != nil {
+			t.Errorf("released, and not given away: %v", err)
+		}
+	}
 	f := Fence{}
 	for i, c := range []struct {
 		token uint64
