--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -27,6 +27,7 @@
 const (
 	mostLeases  = 1024
 	mostWaiters = 1024 // of one lease
+	mostMembers = 4096 // whose births are known
 	mostName    = 128  // bytes
 	// LeastLength and MostLength bound how long a lease is.
 	LeastLength = 100 * time.Millisecond
@@ -128,7 +129,7 @@
 	if err := json.Unmarshal(text, t); err != nil {
 		return nil, fmt.Errorf("leases: %w", err)
 	}
-	if t.Leases == nil || t.Births == nil || len(t.Leases) > mostLeases || t.Last == math.MaxUint64 || t.Term == math.MaxUint64 {
+	if t.Leases == nil || t.Births == nil || len(t.Leases) > mostLeases || len(t.Births) > mostMembers || t.Last == math.MaxUint64 || t.Term == math.MaxUint64 {
 		return nil, errors.New("leases: not a table")
 	}
 	for name, l := range t.Leases {
@@ -176,8 +177,12 @@
 	if m.Name == "" || len(m.Name) > mostName || len(m.Site) > mostName {
 		return fmt.Errorf("member: a name of %d and a site of %d bytes, want 1 to %d", len(m.Name), len(m.Site), mostName)
 	}
-	if b, ok := t.Births[m.Name]; ok && m.Birth < b {
+	b, ok := t.Births[m.Name]
+	switch {
+	case ok && m.Birth < b:
 		return ErrOld
+	case !ok && len(t.Births) >= mostMembers: // Forget makes room
+		return fmt.Errorf("members: %w", ErrFull)
 	}
 	return nil
 }
