gateway: the zone test waits for load that stays at home

Its log shows why: the machine gave the test no time for 300 ms, both endpoints were ejected, the zone went failing, dark, returning and up by itself, and 43 requests crossed meanwhile, as they should. The check took the sum since the start for "all is well".

It now waits for a stretch of 400 requests at home, with the zone up and at most a tenth crossing; load that goes on crossing still fails it, as the stretch never comes. No code of the gateway is changed. Ruled out: a fault in the zone's own times, which are as configured (hold 115 ms, two steps of 100 ms) and each with its evidence in the log.

--- a/internal/gateway/zones_test.go
+++ b/internal/gateway/zones_test.go
@@ -123,11 +123,16 @@
 			})
 			fakes.Eventually(t, "the gateway to be ready", g.Ready)
 			l := press(t, g, 6, "/x")
-			fakes.Eventually(t, "load at home", func() bool { return all[0].Requests() > 200 && all[1].Requests() > 200 })
-			// Where a machine gives it no time for long, a zone that is well looks like one that says nothing.
-			if n, home := all[2].Requests()+all[3].Requests(), all[0].Requests()+all[1].Requests(); n > home/10 {
-				t.Errorf("%d requests crossed while all was well, %d did not", n, home)
-			}
+			// Where a machine gives it no time for long, a zone that is well looks like one that says nothing and is left until its
+			// way back is done. So what counts is a stretch of load that stays at home, which must come.
+			home, away := 0, 0
+			fakes.Eventually(t, "load that stays at home", func() bool {
+				h, n := all[0].Requests()+all[1].Requests(), all[2].Requests()+all[3].Requests()
+				if n-away > (h-home)/10 || g.zone(t, "a").State != "up" {
+					home, away = h, n
+				}
+				return h-home > 400
+			})
 			all[0].Kill()
 			all[1].Kill()
 			fakes.Eventually(t, "the zone to be dark", func() bool { return g.zone(t, "a").State == "dark" })
