xds: what was accepted can be handed on, and taken from another process

One subscription for all gateways of a site needs a client that holds no stream and takes what another gateway accepted. Machine.Export and Import move a whole, or what has changed, in the incremental form; a file of resources now goes the same way. Digest and CoveredBy tell whether two processes have the same in use whatever their versions are called, Missing and Answered whether something is still to be said. Client.Pause ends the stream and keeps what was learnt.

The package's tests pass unchanged (state of the world, incremental, files).

--- a/internal/xds/client.go
+++ b/internal/xds/client.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	discoveryv3 "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
@@ -40,6 +41,9 @@
 	sink Sink
 	want chan wish
 
+	paused atomic.Bool
+	turn   chan struct{} // paused has changed
+
 	mu      sync.Mutex
 	machine *Machine
 	link    Link
@@ -61,7 +65,7 @@
 
 // NewClient makes one that Run starts.
 func NewClient(opt ClientOptions, sink Sink) *Client {
-	return &Client{opt: opt, sink: sink, want: make(chan wish, 1), machine: NewMachine(opt.Options)}
+	return &Client{opt: opt, sink: sink, want: make(chan wish, 1), turn: make(chan struct{}, 1), machine: NewMachine(opt.Options)}
 }
 
 // Names changes which ClusterLoadAssignments are asked for beside those that clusters name, and which classes routes may
@@ -81,6 +85,40 @@
 	}
 }
 
+// Pause has it hold no stream, or follow the control planes again. What was learnt stays.
+func (c *Client) Pause(on bool) {
+	if c.paused.Swap(on) == on {
+		return
+	}
+	select {
+	case c.turn <- struct{}{}:
+	default:
+	}
+}
+
+// Import takes what another process accepted, as from a control plane; not while a stream is open.
+func (c *Client) Import(b *Bundle) (err error) {
+	c.mu.Lock()
+	on := c.machine.on
+	c.mu.Unlock()
+	if on {
+		return errors.New("a stream of its own is open")
+	}
+	c.step(func(m *Machine, now time.Duration) ([]Message, []Change) {
+		var changes []Change
+		changes, err = m.Import(now, b)
+		return nil, changes
+	})
+	return err
+}
+
+// Look runs fn on the machine, which must only read it.
+func (c *Client) Look(fn func(m *Machine, now time.Duration)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	fn(c.machine, c.opt.Now())
+}
+
 // Link tells how the client stands with its control planes.
 func (c *Client) Link() Link {
 	c.mu.Lock()
@@ -125,11 +163,21 @@
 func (c *Client) Run(ctx context.Context) {
 	wait := c.opt.BackoffBase
 	for ctx.Err() == nil {
+		for c.paused.Load() && ctx.Err() == nil {
+			c.idle(ctx, time.Minute)
+			wait = c.opt.BackoffBase
+		}
 		for _, server := range c.opt.Servers {
 			heard, err := c.stream(ctx, server)
 			if ctx.Err() != nil {
 				return
 			}
+			if errors.Is(err, errPaused) {
+				c.mu.Lock()
+				c.link.Server, c.link.Error = "", ""
+				c.mu.Unlock()
+				break
+			}
 			c.mu.Lock()
 			c.link.Server, c.link.Error = "", cut(fmt.Sprintf("%s: %v", server, err))
 			c.mu.Unlock()
@@ -139,6 +187,9 @@
 				break // begin with the first again
 			}
 		}
+		if c.paused.Load() {
+			continue
+		}
 		c.idle(ctx, wait/2+rand.N(wait/2+1))
 		wait = min(2*wait, c.opt.BackoffMost)
 	}
@@ -157,6 +208,9 @@
 		case <-end.C:
 			tick.Stop()
 			return
+		case <-c.turn:
+			tick.Stop()
+			return
 		case w := <-c.want:
 			c.wished(w)
 		case <-tick.C:
@@ -209,6 +263,9 @@
 	return response{delta: r}, err
 }
 
+// errPaused is why a stream ended that nobody wanted any more.
+var errPaused = errors.New("paused")
+
 // stream opens a stream to one control plane and serves it until it ends; heard tells whether it told anything.
 func (c *Client) stream(parent context.Context, server string) (heard bool, err error) {
 	conn, err := grpc.NewClient("passthrough:///"+server, grpc.WithTransportCredentials(insecure.NewCredentials()),
@@ -277,6 +334,11 @@
 		case <-ctx.Done():
 			tick.Stop()
 			return heard, ctx.Err()
+		case <-c.turn:
+			if out = nil; c.paused.Load() {
+				tick.Stop()
+				return heard, errPaused
+			}
 		case w := <-c.want:
 			out = c.wished(w)
 		case <-tick.C:
--- a/internal/xds/file.go
+++ b/internal/xds/file.go
@@ -89,34 +89,9 @@
 	return err
 }
 
-// take hands the file's contents to the machine as incremental responses, clusters first.
+// take hands the file's contents to the machine.
 func (f *FileSource) take(set map[Type][]*discoveryv3.Resource) ([]Change, error) {
-	var errs []error
-	var all []Change
-	now := f.now()
-	_, changes := f.machine.Begin(now)
-	all = append(all, changes...)
-	for _, t := range []Type{ClusterType, EndpointType, ListenerType, RouteType} {
-		if f.machine.kind(t) == nil {
-			continue
-		}
-		r := &discoveryv3.DeltaDiscoveryResponse{TypeUrl: string(t), Resources: set[t]}
-		there := map[string]bool{}
-		for _, res := range set[t] {
-			there[res.GetName()] = true
-		}
-		for _, old := range f.machine.Resources(t) {
-			if !there[old.Name] && old.State != Absent {
-				r.RemovedResources = append(r.RemovedResources, old.Name)
-			}
-		}
-		out, changes := f.machine.Delta(now, r)
-		all = append(all, changes...)
-		if d := out[0].Delta.GetErrorDetail(); d != nil {
-			errs = append(errs, errors.New(d.GetMessage()))
-		}
-	}
-	return all, errors.Join(errs...)
+	return f.machine.Import(f.now(), &Bundle{Resources: set, Whole: true, Only: true})
 }
 
 // Names changes which ClusterLoadAssignments are taken, and which classes routes may name.
--- a/internal/xds/machine.go
+++ b/internal/xds/machine.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	clusterv3 "github.com/envoyproxy/go-control-plane/envoy/config/cluster/v3"
 	corev3 "github.com/envoyproxy/go-control-plane/envoy/config/core/v3"
 	endpointv3 "github.com/envoyproxy/go-control-plane/envoy/config/endpoint/v3"
@@ -19,6 +20,7 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/anypb"
+	"google.golang.org/protobuf/types/known/durationpb"
 )
 
 // State is where a resource stands.
@@ -45,6 +47,18 @@
 
 	expires time.Duration // 0: never
 	asked   time.Duration
+	body    *anypb.Any // Options.Keep: as it was told
+}
+
+// Body is the resource as it was told, where Options.Keep has it kept and State is Received; else nil.
+func (r *Resource) Body() *anypb.Any { return r.body }
+
+// Left is the time to live that is left of it; 0: it has none.
+func (r *Resource) Left(now time.Duration) time.Duration {
+	if r.expires == 0 {
+		return 0
+	}
+	return max(r.expires-now, time.Millisecond)
 }
 
 // Change is one resource's news. Resource is a copy.
@@ -62,6 +76,7 @@
 	Routes       string          // the RouteConfiguration to ask for; empty: none
 	Listener     string          // the Listener to ask for, and the RouteConfiguration that it names; empty: none
 	Classes      map[string]bool // that routes may name
+	Keep         bool            // keep resources as they were told, to hand them on
 	FetchTimeout time.Duration   // a resource that nothing is said of for so long does not exist; 0: wait
 }
 
@@ -415,6 +430,9 @@
 	}
 	r.State, r.Version, r.Value, r.Warnings, r.Updated, r.Rejected, r.Why = Received, in.version, value, warn, t.now, "", ""
 	r.expires = t.expiry(in)
+	if t.m.opt.Keep {
+		r.body = in.body
+	}
 	t.changes[name] = Change{t.k.typ, *r}
 }
 
@@ -495,6 +513,148 @@
 	return at
 }
 
+// Bundle is resources of several types, as another process accepted them.
+type Bundle struct {
+	Resources map[Type][]*discoveryv3.Resource
+	Removed   map[Type][]string
+	// Whole: what is not in Resources is withdrawn. Only: and what is asked for and not in it does not exist.
+	Whole, Only bool
+	// Versions are of the types as a whole, for the state-of-the-world variant.
+	Versions map[Type]string
+}
+
+// Import takes what another process accepted, clusters first. It is for a time without a stream. What cannot be used is
+// refused one by one, as from a control plane.
+func (m *Machine) Import(now time.Duration, b *Bundle) ([]Change, error) {
+	var errs []error
+	_, all := m.want(now)
+	for _, t := range []Type{ClusterType, EndpointType, ListenerType, RouteType} {
+		k := m.kind(t)
+		if k == nil {
+			continue
+		}
+		r := &discoveryv3.DeltaDiscoveryResponse{TypeUrl: string(t), Resources: b.Resources[t], RemovedResources: slices.Clone(b.Removed[t])}
+		if b.Whole {
+			there := map[string]bool{}
+			for _, res := range b.Resources[t] {
+				there[res.GetName()] = true
+			}
+			for _, old := range m.Resources(t) {
+				if !there[old.Name] && (old.State == Received || b.Only && old.State != Absent) {
+					r.RemovedResources = append(r.RemovedResources, old.Name)
+				}
+			}
+		}
+		if len(r.Resources)+len(r.RemovedResources) > 0 {
+			out, changes := m.Delta(now, r)
+			all = append(all, changes...)
+			if d := out[0].Delta.GetErrorDetail(); d != nil {
+				errs = append(errs, errors.New(d.GetMessage()))
+			}
+		}
+		if v, ok := b.Versions[t]; ok {
+			k.version = v
+		}
+	}
+	return all, errors.Join(errs...)
+}
+
+// Export gives all that is in use, with Options.Keep.
+func (m *Machine) Export(now time.Duration) *Bundle {
+	b := &Bundle{Resources: map[Type][]*discoveryv3.Resource{}, Removed: map[Type][]string{}, Whole: true, Versions: map[Type]string{}}
+	for _, k := range m.kinds {
+		b.Versions[k.typ] = k.version
+		for _, name := range slices.Sorted(maps.Keys(k.all)) {
+			switch r := k.all[name]; {
+			case r.State == Received && r.body != nil:
+				b.Resources[k.typ] = append(b.Resources[k.typ], r.Wire(now))
+			case r.State == Absent:
+				b.Removed[k.typ] = append(b.Removed[k.typ], name)
+			}
+		}
+	}
+	return b
+}
+
+// Wire is a resource as it is handed on.
+func (r *Resource) Wire(now time.Duration) *discoveryv3.Resource {
+	w := &discoveryv3.Resource{Name: r.Name, Version: r.Version, Resource: r.body}
+	if left := r.Left(now); left > 0 {
+		w.Ttl = durationpb.New(left)
+	}
+	return w
+}
+
+// Digest stands for all that is in use, whatever the order in which it came and whatever its versions are called.
+func (m *Machine) Digest() uint64 {
+	var sum uint64
+	for _, k := range m.kinds {
+		for _, r := range k.all {
+			if r.State == Received && r.body != nil {
+				sum += digest(k.typ, r.Name, r.body)
+			}
+		}
+	}
+	return sum
+}
+
+func digest(t Type, name string, body *anypb.Any) uint64 {
+	h := xxhash.New()
+	for _, s := range []string{string(t), name, body.GetTypeUrl()} {
+		_, _ = h.WriteString(s)
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = h.Write(body.GetValue())
+	return h.Sum64()
+}
+
+// CoveredBy tells whether a whole bundle has all that is in use here, and the same.
+func (m *Machine) CoveredBy(b *Bundle) bool {
+	for _, k := range m.kinds {
+		there := map[string]uint64{}
+		for _, r := range b.Resources[k.typ] {
+			there[r.GetName()] = digest(k.typ, r.GetName(), r.GetResource())
+		}
+		for _, r := range k.all {
+			if r.State == Received && (r.body == nil || there[r.Name] != digest(k.typ, r.Name, r.body)) {
+				return false
+			}
+		}
+		if k.wildcard && len(there) != len(k.all) {
+			return false
+		}
+	}
+	return true
+}
+
+// Missing tells whether nothing has been said of something that is asked for.
+func (m *Machine) Missing() bool {
+	for _, k := range m.kinds {
+		for _, r := range k.all {
+			if r.State == Requested {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Open tells whether a stream is open.
+func (m *Machine) Open() bool { return m.on }
+
+// Answered tells whether a response of each type that is asked for has come on this stream.
+func (m *Machine) Answered() bool {
+	if !m.on {
+		return false
+	}
+	for _, k := range m.kinds {
+		if (k.wildcard || len(k.all) > 0) && k.nonce == "" {
+			return false
+		}
+	}
+	return true
+}
+
 // Resources gives copies of all that is known of a type, by name.
 func (m *Machine) Resources(t Type) []Resource {
 	k := m.kind(t)
