--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,369 @@
+// Package peer is a process's one address among the processes of its fleet: HTTP/1.1 calls, streams that begin as one of
+// them, and UDP packets to the same port. Other fleets are told apart by name at the first line and refused.
+//
+// Danger: nothing here is encrypted, and who reaches the address is believed. It stands on loopback unless told otherwise.
+package peer
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	fleetHeader = "Robindrum-Fleet"
+	// mostStreams bounds streams and calls that are open at once; more are refused.
+	mostStreams = 4096
+	mostReply   = 64 << 20
+	mostHead    = 16 << 10
+	// dialTime bounds how long a connection may take to come up.
+	dialTime = 3 * time.Second
+)
+
+// ErrOther is that the other side is of another fleet, or refused for a reason that a repetition does not change.
+var ErrOther = errors.New("refused by the other side")
+
+// Options are what a Node is told.
+type Options struct {
+	Fleet   string // its name; processes of another one are refused
+	Address string // host:port to listen on; port 0: any
+	// Via gives other addresses by which peers are reached from here, by their own one (port forwarding, a tunnel).
+	Via map[string]string
+	Log *slog.Logger
+}
+
+// Node is a process's place among its fleet. Its methods may be called by several goroutines at once; handlers are
+// registered before Serve.
+type Node struct {
+	opt     Options
+	tcp     net.Listener
+	udp     *net.UDPConn
+	mux     *http.ServeMux
+	server  *http.Server
+	client  *http.Client
+	done    chan struct{}
+	open    atomic.Int64
+	sent    atomic.Int64
+	mu      sync.Mutex
+	streams map[net.Conn]struct{}
+	via     map[string]*net.UDPAddr
+	closed  bool
+}
+
+// Listen opens the address, for TCP and UDP.
+func Listen(opt Options) (*Node, error) {
+	n := &Node{opt: opt, mux: http.NewServeMux(), done: make(chan struct{}), streams: map[net.Conn]struct{}{}, via: map[string]*net.UDPAddr{}}
+	var err error
+	for range 16 { // a port that is free for TCP may be taken for UDP
+		if n.tcp, err = net.Listen("tcp", opt.Address); err != nil {
+			return nil, fmt.Errorf("fleet: %w", err)
+		}
+		at := n.tcp.Addr().(*net.TCPAddr)
+		if n.udp, err = net.ListenUDP("udp", &net.UDPAddr{IP: at.IP, Port: at.Port}); err == nil {
+			break
+		}
+		n.tcp.Close()
+		if _, port, _ := net.SplitHostPort(opt.Address); port != "0" {
+			break
+		}
+	}
+	if err != nil {
+		return nil, fmt.Errorf("fleet: %w", err)
+	}
+	n.client = &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) { return n.dial(ctx, addr) },
+		MaxIdleConnsPerHost: 2, MaxIdleConns: 512, IdleConnTimeout: 30 * time.Second, DisableCompression: true}}
+	n.server = &http.Server{Handler: http.HandlerFunc(n.serve), ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: mostHead,
+		ErrorLog: slog.NewLogLogger(opt.Log.Handler(), slog.LevelDebug)}
+	return n, nil
+}
+
+// Addr is where it listens.
+func (n *Node) Addr() string { return n.tcp.Addr().String() }
+
+// Sent is how many bytes of calls and packets have been sent, without what streams carry.
+func (n *Node) Sent() int64 { return n.sent.Load() }
+
+// Serve answers until Close.
+func (n *Node) Serve() {
+	go func() {
+		defer close(n.done)
+		_ = n.server.Serve(n.tcp) // ends with Close
+	}()
+}
+
+// Close ends it: what is open is cut.
+func (n *Node) Close() {
+	n.mu.Lock()
+	n.closed = true
+	for c := range n.streams {
+		c.Close()
+	}
+	n.mu.Unlock()
+	n.server.Close()
+	n.tcp.Close()
+	n.udp.Close()
+	n.client.CloseIdleConnections()
+	select {
+	case <-n.done:
+	case <-time.After(time.Second): // Serve was never called
+	}
+}
+
+func (n *Node) serve(w http.ResponseWriter, r *http.Request) {
+	if f := r.Header.Get(fleetHeader); f != n.opt.Fleet {
+		http.Error(w, fmt.Sprintf("this is fleet %q, not %q", n.opt.Fleet, f), http.StatusMisdirectedRequest)
+		return
+	}
+	if n.open.Add(1) > mostStreams {
+		n.open.Add(-1)
+		w.Header().Set("Retry-After", "1")
+		http.Error(w, "too many calls at once", http.StatusServiceUnavailable)
+		return
+	}
+	defer n.open.Add(-1)
+	n.mux.ServeHTTP(w, r)
+}
+
+// Failure is an error that the caller of a handler is to see with a status.
+type Failure struct {
+	Status int
+	Err    error
+}
+
+func (f *Failure) Error() string { return f.Err.Error() }
+func (f *Failure) Unwrap() error { return f.Err }
+
+// Handle has fn answer calls of a path: a body of at most so many bytes, in JSON, and an answer in JSON. An error that is a
+// Failure has its status, any other 500.
+func (n *Node) Handle(path string, most int64, fn func(ctx context.Context, body []byte) (any, error)) {
+	n.mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+			return
+		}
+		v, err := fn(r.Context(), body)
+		if err != nil {
+			status := http.StatusInternalServerError
+			var f *Failure
+			if errors.As(err, &f) {
+				status = f.Status
+			}
+			http.Error(w, err.Error(), status)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(v) // to one who has left
+	})
+}
+
+// Mux takes handlers of other kinds.
+func (n *Node) Mux() *http.ServeMux { return n.mux }
+
+// dial connects to a peer, by the way that is set for it.
+func (n *Node) dial(ctx context.Context, addr string) (net.Conn, error) {
+	if via, ok := n.opt.Via[addr]; ok {
+		addr = via
+	}
+	d := net.Dialer{Timeout: dialTime}
+	return d.DialContext(ctx, "tcp", addr)
+}
+
+// Call posts in, as JSON, and reads the answer into out, which may be nil. It ends with ctx.
+func (n *Node) Call(ctx context.Context, addr, path string, in, out any) error {
+	body, err := json.Marshal(in)
+	if err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+path, bytes.NewReader(body))
+	if err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	r.Header.Set(fleetHeader, n.opt.Fleet)
+	n.sent.Add(int64(len(body)) + 200)
+	resp, err := n.client.Do(r)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, mostReply))
+	if err != nil {
+		return fmt.Errorf("%s of %s: %w", path, addr, err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		err := fmt.Errorf("%s of %s: %s", path, addr, bytes.TrimSpace(text))
+		if resp.StatusCode == http.StatusMisdirectedRequest || resp.StatusCode == http.StatusForbidden {
+			err = fmt.Errorf("%w: %w", ErrOther, err)
+		}
+		return &Failure{Status: resp.StatusCode, Err: err}
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.Unmarshal(text, out); err != nil {
+		return fmt.Errorf("%s of %s: %w", path, addr, err)
+	}
+	return nil
+}
+
+// HandleStream has streams of a kind taken: greet looks at what the other side says of itself and gives what is answered,
+// or why it is refused; take owns the connection from then on.
+func (n *Node) HandleStream(kind string, greet func(http.Header) (http.Header, error), take func(net.Conn)) {
+	n.mux.HandleFunc("GET /fleet/v1/stream/"+kind, func(w http.ResponseWriter, r *http.Request) {
+		answer, err := greet(r.Header)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusForbidden)
+			return
+		}
+		c, rw, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		_ = c.SetDeadline(time.Now().Add(dialTime))
+		fmt.Fprintf(rw, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: robindrum-%s\r\n", kind)
+		_ = answer.Write(rw)
+		fmt.Fprint(rw, "\r\n")
+		if rw.Flush() != nil || !n.keep(c) {
+			c.Close()
+			return
+		}
+		_ = c.SetDeadline(time.Time{})
+		take(&stream{Conn: c, n: n, r: rw.Reader})
+	})
+}
+
+// Stream opens a stream of a kind to a peer; say is what this side says of itself.
+func (n *Node) Stream(ctx context.Context, addr, kind string, say http.Header) (net.Conn, http.Header, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTime)
+	defer cancel()
+	c, err := n.dial(ctx, addr)
+	if err != nil {
+		return nil, nil, err
+	}
+	end := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	r, err := http.NewRequest(http.MethodGet, "http://"+addr+"/fleet/v1/stream/"+kind, nil)
+	if err != nil {
+		c.Close()
+		return nil, nil, err
+	}
+	r.Header = say.Clone()
+	r.Header.Set(fleetHeader, n.opt.Fleet)
+	r.Header.Set("Connection", "Upgrade")
+	r.Header.Set("Upgrade", "robindrum-"+kind)
+	in := bufio.NewReader(c)
+	err = r.Write(c)
+	var resp *http.Response
+	if err == nil {
+		resp, err = http.ReadResponse(in, r)
+	}
+	if err == nil && resp.StatusCode != http.StatusSwitchingProtocols {
+		text, _ := io.ReadAll(io.LimitReader(resp.Body, mostHead))
+		err = fmt.Errorf("%w: %s of %s: %s", ErrOther, kind, addr, bytes.TrimSpace(text))
+	}
+	if err == nil && (!end() || !n.keep(c)) {
+		err = context.Cause(ctx)
+		if err == nil {
+			err = net.ErrClosed
+		}
+	}
+	if err != nil {
+		end()
+		c.Close()
+		return nil, nil, err
+	}
+	return &stream{Conn: c, n: n, r: in}, resp.Header, nil
+}
+
+func (n *Node) keep(c net.Conn) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.closed || len(n.streams) >= mostStreams {
+		return false
+	}
+	n.streams[c] = struct{}{}
+	return true
+}
+
+// stream is a connection behind its greeting, some of which may have been read ahead.
+type stream struct {
+	net.Conn
+	n *Node
+	r io.Reader
+}
+
+func (s *stream) Read(b []byte) (int, error) { return s.r.Read(b) }
+
+func (s *stream) Close() error {
+	s.n.mu.Lock()
+	delete(s.n.streams, s.Conn)
+	s.n.mu.Unlock()
+	return s.Conn.Close()
+}
+
+// Packet sends a UDP packet to a peer.
+func (n *Node) Packet(addr string, b []byte) error {
+	to, err := n.resolve(addr)
+	if err != nil {
+		return err
+	}
+	n.sent.Add(int64(len(b)))
+	_, err = n.udp.WriteToUDP(b, to)
+	return err
+}
+
+func (n *Node) resolve(addr string) (*net.UDPAddr, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if a := n.via[addr]; a != nil {
+		return a, nil
+	}
+	to := addr
+	if via, ok := n.opt.Via[addr]; ok {
+		to = via
+	}
+	a, err := net.ResolveUDPAddr("udp", to)
+	if err != nil {
+		return nil, err
+	}
+	if len(n.via) >= mostStreams { // addresses come from outside
+		clear(n.via)
+	}
+	n.via[addr] = a
+	return a, nil
+}
+
+// ReadPacket waits for the next packet. It is for one goroutine; Close ends it.
+func (n *Node) ReadPacket(b []byte) (int, net.Addr, error) { return n.udp.ReadFromUDP(b) }
+
+// Private tells whether an address is one that only a private network leads to.
+func Private(address string) bool {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return false
+	}
+	if host == "localhost" {
+		return true
+	}
+	ip, err := netip.ParseAddr(host)
+	return err == nil && (ip.IsLoopback() || ip.IsPrivate() || ip.IsLinkLocalUnicast())
+}
+
+// Port is the port of an address, 0 where it has none.
+func Port(address string) int {
+	_, port, _ := net.SplitHostPort(address)
+	p, _ := strconv.Atoi(port)
+	return p
+}
