--- /dev/null
+++ b/internal/duty/duty.go
@@ -0,0 +1,284 @@
+// Package duty runs what only one process of a fleet does at a time. A duty runs while its lease is held: it begins with a
+// fencing token, and its context ends before the lease does. Safety does not rest on that: whoever receives an act of a
+// duty refuses a token older than the highest it has seen (lease.Fence).
+package duty
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"arrowhitch/internal/lease"
+	"arrowhitch/internal/quorum"
+)
+
+// Quorum is what a Runner asks; *quorum.Client is one. sent is when what was answered was sent, by the Runner's clock.
+type Quorum interface {
+	Do(ctx context.Context, c quorum.Command) (r quorum.Result, sent time.Duration, err error)
+}
+
+// Duty is one.
+type Duty struct {
+	Name  string // of its lease
+	Rules lease.Rules
+	// Run does it until ctx ends, and then returns at once. Each act asks hold for the token just before it is sent.
+	Run func(ctx context.Context, hold *Hold)
+}
+
+// Hold is the lease that a running duty has. Its methods may be called by several goroutines at once.
+type Hold struct {
+	r *Runner
+
+	mu sync.Mutex
+	h  lease.Holder
+}
+
+// Token is what an act that begins now carries, with the reading of the clock that it was judged by; false where the lease
+// is over, also for a process that was stopped in between and goes on.
+func (h *Hold) Token() (token uint64, at time.Duration, ok bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	at = h.r.opt.Now()
+	token, ok = h.h.Token(at)
+	return token, at, ok || unguarded && token > 0
+}
+
+func (h *Hold) granted(sent time.Duration, g lease.Grant) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.h.Granted(sent, g)
+}
+
+func (h *Hold) until() time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.h.Until()
+}
+
+func (h *Hold) lost() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.h.Lost()
+}
+
+// Options are what a Runner is told.
+type Options struct {
+	Member lease.Member // its Load is filled in
+	Now    func() time.Duration
+	Log    *slog.Logger
+}
+
+// Runner runs duties. Its methods may be called by several goroutines at once.
+type Runner struct {
+	opt Options
+	q   Quorum
+
+	mu     sync.Mutex
+	duties map[string]*Status
+	held   int
+}
+
+// State is where a duty stands in this process.
+type State string
+
+const (
+	Asking  State = "asking"  // no word of the quorum yet
+	Waiting State = "waiting" // another process has it
+	Holding State = "holding"
+	Overdue State = "overdue" // its lease is over and it has not returned: its acts are refused by whoever receives them
+	NoWord  State = "no quorum"
+)
+
+// Status is how a duty stands in this process.
+type Status struct {
+	Name    string        `json:"name"`
+	State   State         `json:"state"`
+	Token   uint64        `json:"token,omitempty"`
+	Since   time.Duration `json:"since"`
+	Held    int           `json:"held"`    // how often this process had it
+	Overdue int           `json:"overdue"` // how often it did not end in time
+	Error   string        `json:"error,omitempty"`
+}
+
+// NewRunner makes one.
+func NewRunner(q Quorum, opt Options) *Runner {
+	return &Runner{opt: opt, q: q, duties: map[string]*Status{}}
+}
+
+// Status tells of all duties, in no order.
+func (r *Runner) Status() []Status {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l := make([]Status, 0, len(r.duties))
+	for _, s := range r.duties {
+		l = append(l, *s)
+	}
+	return l
+}
+
+func (r *Runner) set(d *Duty, s State, token uint64, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	x := r.duties[d.Name]
+	if x == nil {
+		x = &Status{Name: d.Name}
+		r.duties[d.Name] = x
+	}
+	if x.State != s || x.Token != token {
+		x.Since = r.opt.Now()
+		switch s {
+		case Holding:
+			x.Held++
+		case Overdue:
+			x.Overdue++
+		}
+		r.opt.Log.Info("duty", "name", d.Name, "state", string(s), "token", token)
+	}
+	if x.State == Holding && s != Holding {
+		r.held--
+	}
+	if x.State != Holding && s == Holding {
+		r.held++
+	}
+	x.State, x.Token, x.Error = s, token, ""
+	if err != nil {
+		x.Error = err.Error()
+	}
+}
+
+func (r *Runner) command(op quorum.Op, d *Duty, token uint64) quorum.Command {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m := r.opt.Member
+	m.Load = r.held
+	return quorum.Command{Op: op, Lease: d.Name, Rules: d.Rules, Member: m, Token: token}
+}
+
+// Run asks for a duty, and runs it whenever it is granted, until ctx ends; then it gives the lease back.
+func (r *Runner) Run(ctx context.Context, d Duty) {
+	r.set(&d, Asking, 0, nil)
+	for ctx.Err() == nil {
+		one, cancel := context.WithTimeout(ctx, d.Rules.Length)
+		res, sent, err := r.q.Do(one, r.command(quorum.Acquire, &d, 0))
+		cancel()
+		if err == nil {
+			err = res.Err()
+		}
+		switch {
+		case err == nil:
+			h := &Hold{r: r}
+			h.granted(sent, res.Grant)
+			if r.hold(ctx, &d, h, res.Grant.Token); ctx.Err() == nil {
+				r.set(&d, Asking, 0, nil)
+			}
+			continue
+		case errors.Is(err, lease.ErrWaiting):
+			r.set(&d, Waiting, 0, nil)
+		case errors.Is(err, quorum.ErrNone):
+			r.set(&d, NoWord, 0, err)
+		default:
+			r.set(&d, Waiting, 0, err)
+		}
+		// Half of it at random, so that those who wait do not ask in step.
+		wait(ctx, d.Rules.Length/8+rand.N(d.Rules.Length/8))
+	}
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// hold runs a duty until its lease is over, and renews it meanwhile.
+func (r *Runner) hold(ctx context.Context, d *Duty, h *Hold, token uint64) {
+	margin := d.Rules.Length / 10
+	if h.until()-margin <= r.opt.Now() && !unguarded {
+		return // the answer took as long as the lease lasts
+	}
+	run, stop := context.WithCancel(ctx)
+	defer stop()
+	r.set(d, Holding, token, nil)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		d.Run(run, h)
+	}()
+	lost := make(chan struct{})
+	renewing := make(chan struct{})
+	go func() {
+		defer close(renewing)
+		r.renew(run, d, h, token, lost)
+	}()
+	over := false
+	for !over {
+		left := h.until() - margin - r.opt.Now()
+		if left <= 0 && !unguarded {
+			break
+		}
+		t := time.NewTimer(max(left, time.Millisecond))
+		select {
+		case <-t.C:
+		case <-lost:
+			over = true
+		case <-ended:
+			over = true
+		case <-ctx.Done():
+			over = true
+		}
+		t.Stop()
+	}
+	stop()
+	select {
+	case <-ended:
+	default:
+		t := time.NewTimer(max(h.until()-r.opt.Now(), 0))
+		select {
+		case <-ended:
+		case <-t.C:
+			r.set(d, Overdue, token, nil)
+			r.opt.Log.Error("a duty has not ended though its lease is over; whoever receives its acts refuses them", "name", d.Name, "token", token)
+			<-ended
+		}
+		t.Stop()
+	}
+	<-renewing
+	_, _, left := h.Token()
+	h.lost()
+	if !left {
+		return
+	}
+	// What it held is free at once for the next one. Not by ctx, which may have ended.
+	one, cancel := context.WithTimeout(context.WithoutCancel(ctx), min(d.Rules.Length/2, 2*time.Second))
+	defer cancel()
+	_, _, _ = r.q.Do(one, r.command(quorum.Release, d, token)) // or it ends by itself
+	r.set(d, Waiting, 0, nil)
+}
+
+// renew renews a lease until ctx ends or it is lost.
+func (r *Runner) renew(ctx context.Context, d *Duty, h *Hold, token uint64, lost chan<- struct{}) {
+	for {
+		wait(ctx, d.Rules.Length/4)
+		if ctx.Err() != nil {
+			return
+		}
+		one, cancel := context.WithTimeout(ctx, d.Rules.Length)
+		res, sent, err := r.q.Do(one, r.command(quorum.Renew, d, token))
+		cancel()
+		if err != nil {
+			continue // its time goes on
+		}
+		if err := res.Err(); err != nil {
+			h.lost()
+			close(lost)
+			return
+		}
+		h.granted(sent, res.Grant)
+	}
+}
--- /dev/null
+++ b/internal/duty/planted.go
@@ -0,0 +1,5 @@
+//go:build planted
+
+package duty
+
+const unguarded = true
--- /dev/null
+++ b/internal/quorum/client.go
@@ -0,0 +1,128 @@
+package quorum
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"arrowhitch/internal/peer"
+)
+
+// ErrNone is that no leader answered in time. Whether the command was agreed on is not known.
+var ErrNone = errors.New("no quorum")
+
+// Client asks the voters. Its methods may be called by several goroutines at once.
+type Client struct {
+	node    *peer.Node
+	voters  []Voter
+	attempt time.Duration // of one voter
+	now     func() time.Duration
+
+	mu     sync.Mutex
+	leader string
+	last   time.Duration // when a leader answered last; 0: never
+	err    error
+}
+
+// NewClient makes one. An attempt at one voter has so long.
+func NewClient(n *peer.Node, voters []Voter, attempt time.Duration, now func() time.Duration) *Client {
+	return &Client{node: n, voters: voters, attempt: attempt, now: now}
+}
+
+// Do has a command agreed on, within ctx and three rounds over the voters. sent is when the attempt that was answered was
+// sent, by the caller's clock: a grant counts from there.
+func (c *Client) Do(ctx context.Context, cmd Command) (r Result, sent time.Duration, err error) {
+	c.mu.Lock()
+	to := c.leader
+	c.mu.Unlock()
+	next := rand.IntN(len(c.voters))
+	var last error
+	for range 3 * len(c.voters) {
+		if to == "" {
+			to = c.voters[next%len(c.voters)].Address
+			next++
+		}
+		var rep reply
+		sent = c.now()
+		one, cancel := context.WithTimeout(ctx, c.attempt)
+		err := c.node.Call(one, to, "/fleet/v1/quorum", cmd, &rep)
+		cancel()
+		switch {
+		case err == nil && rep.Done:
+			c.heard(to, nil)
+			return rep.Result, sent, nil
+		case err == nil && rep.Leader != "" && rep.Leader != to:
+			to, last = rep.Leader, fmt.Errorf("%s: %s", to, rep.Why)
+			continue
+		case err == nil:
+			last = fmt.Errorf("%s: %s", to, rep.Why)
+		default:
+			last = err
+		}
+		to = ""
+		if ctx.Err() != nil {
+			break
+		}
+		pause(ctx, c.attempt/20+rand.N(c.attempt/20+1))
+	}
+	err = fmt.Errorf("%w: %w", ErrNone, last)
+	c.heard("", err)
+	return Result{}, 0, err
+}
+
+func (c *Client) heard(leader string, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leader, c.err = leader, err
+	if err == nil {
+		c.last = c.now()
+	}
+}
+
+// Contact is how a client stands with the voters.
+type Contact struct {
+	Leader string        `json:"leader,omitempty"`
+	Age    time.Duration `json:"age"` // of the leader's last answer; negative: there was none
+	Error  string        `json:"error,omitempty"`
+}
+
+// Contact tells how it stands.
+func (c *Client) Contact() Contact {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	k := Contact{Leader: c.leader, Age: -1}
+	if c.last > 0 {
+		k.Age = c.now() - c.last
+	}
+	if c.err != nil {
+		k.Error = c.err.Error()
+	}
+	return k
+}
+
+// Leases asks for all leases: from the leader, or from any voter where there is none.
+func (c *Client) Leases(ctx context.Context) (best Leases, err error) {
+	for _, v := range c.voters {
+		var l Leases
+		one, cancel := context.WithTimeout(ctx, c.attempt)
+		e := c.node.Call(one, v.Address, "/fleet/v1/leases", struct{}{}, &l)
+		cancel()
+		if e != nil {
+			err = errors.Join(err, e)
+			continue
+		}
+		if l.Fresh {
+			return l, nil
+		}
+		if best.Voter == "" || l.Term > best.Term {
+			best = l
+		}
+	}
+	if best.Voter != "" {
+		return best, nil
+	}
+	return best, fmt.Errorf("%w: %w", ErrNone, err)
+}
--- /dev/null
+++ b/internal/quorum/quorum.go
@@ -0,0 +1,642 @@
+// Package quorum holds what a fleet agrees on: three or five named voters keep one log by Raft (hashicorp/raft, its log in
+// bbolt) and apply package lease's commands; everyone else is a client of them over HTTP/1.1. Nothing on a request's path
+// waits for it.
+package quorum
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"maps"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/hashicorp/raft"
+	raftboltdb "github.com/hashicorp/raft-boltdb/v2"
+	"go.etcd.io/bbolt"
+
+	"arrowhitch/internal/peer"
+)
+
+// Voter is one of those that decide.
+type Voter struct {
+	Name    string `json:"name"`
+	Address string `json:"address"`
+}
+
+// Options are what a Server is told.
+type Options struct {
+	Dir    string
+	Name   string // which voter this is
+	Voters []Voter
+	// Heartbeat is how long a voter waits for word of the leader before it stands for election, at the least. 0: 500 ms.
+	Heartbeat time.Duration
+	// MostBytes bounds the log's file. 0: 256 MiB.
+	MostBytes int64
+	Disk      Disk // nil: the file system
+	Log       *slog.Logger
+}
+
+// Server is one voter. Its methods may be called by several goroutines at once.
+type Server struct {
+	opt   Options
+	node  *peer.Node
+	state *state
+	boot  time.Time
+	raft  *raft.Raft
+	trans *raft.NetworkTransport
+	layer *layer
+	guard *guard
+	lead  chan bool
+	end   context.CancelFunc
+	work  sync.WaitGroup
+
+	mu      sync.Mutex
+	id      identity    // as on disk
+	name    string      // of id, which does not change
+	stopped string      // why it does not vote any more
+	leading atomic.Bool // and has counted every lease anew
+}
+
+// Status is how a voter stands.
+type Status struct {
+	Voter   string  `json:"voter"`
+	ID      string  `json:"id"`
+	State   string  `json:"state"` // waiting, follower, candidate, leader, stopped
+	Why     string  `json:"why,omitempty"`
+	Fleet   string  `json:"fleet,omitempty"`
+	Leader  string  `json:"leader,omitempty"`
+	Term    uint64  `json:"term"`
+	Applied uint64  `json:"applied"`
+	Bytes   int64   `json:"bytes"`
+	Voters  []Voter `json:"voters,omitempty"` // as agreed
+	Empty   bool    `json:"empty,omitempty"`  // it has never been in a fleet
+}
+
+// Open takes a voter's folder and has the node answer for it. An error of the folder (ErrFolder) means that this process
+// cannot vote; it can do all else.
+func Open(n *peer.Node, opt Options) (*Server, error) {
+	if opt.Heartbeat == 0 {
+		opt.Heartbeat = 500 * time.Millisecond
+	}
+	if opt.MostBytes == 0 {
+		opt.MostBytes = 256 << 20
+	}
+	path := filepath.Join(opt.Dir, logFile)
+	if opt.Disk == nil {
+		opt.Disk = plainDisk{path, opt.MostBytes}
+	}
+	s := &Server{opt: opt, node: n, state: newState(), boot: time.Now(), lead: make(chan bool, 16)}
+	var err error
+	if s.id, err = openFolder(opt.Dir, opt.Name, opt.Name+"."+random()); err != nil {
+		return nil, fmt.Errorf("voter %q, %s: %w", opt.Name, opt.Dir, err)
+	}
+	s.name = s.id.ID
+	db, err := raftboltdb.New(raftboltdb.Options{Path: path, BoltOptions: &bbolt.Options{Timeout: time.Second}})
+	if err != nil {
+		return nil, fmt.Errorf("voter %q, %s: %w (is another process using it?)", opt.Name, path, err)
+	}
+	s.guard = &guard{BoltStore: db, disk: opt.Disk, fail: s.failed}
+	if err := s.open(); err != nil {
+		db.Close()
+		return nil, fmt.Errorf("voter %q: %w", opt.Name, err)
+	}
+	n.Handle("/fleet/v1/quorum", 64<<10, s.command)
+	n.Handle("/fleet/v1/leases", 1<<10, s.leases)
+	n.Handle("/fleet/v1/voter", 1<<10, func(context.Context, []byte) (any, error) { return s.Status(), nil })
+	return s, nil
+}
+
+func (s *Server) open() error {
+	log := hclog.New(&hclog.LoggerOptions{Output: &lineLog{s.opt.Log}, Level: hclog.Info, DisableTime: true})
+	address := ""
+	for _, v := range s.opt.Voters {
+		if v.Name == s.opt.Name {
+			address = v.Address
+		}
+	}
+	if address == "" {
+		return errors.New("is not among the voters")
+	}
+	s.layer = newLayer(s, address)
+	s.trans = raft.NewNetworkTransportWithConfig(&raft.NetworkTransportConfig{Stream: s.layer, MaxPool: 3, Timeout: 2 * s.opt.Heartbeat, Logger: log})
+	snaps, err := raft.NewFileSnapshotStoreWithLogger(s.opt.Dir, 2, log)
+	if err != nil {
+		return errors.Join(err, s.trans.Close())
+	}
+	c := raft.DefaultConfig()
+	c.LocalID, c.Logger, c.NotifyCh = raft.ServerID(s.name), log, s.lead
+	c.HeartbeatTimeout, c.ElectionTimeout, c.LeaderLeaseTimeout = s.opt.Heartbeat, s.opt.Heartbeat, s.opt.Heartbeat/2
+	c.CommitTimeout = max(s.opt.Heartbeat/20, time.Millisecond)
+	c.SnapshotInterval, c.SnapshotThreshold, c.TrailingLogs = 20*time.Second, 4096, 1024
+	if some, err := raft.HasExistingState(s.guard, s.guard, snaps); err != nil {
+		return errors.Join(err, s.trans.Close())
+	} else if !some { // nothing was ever promised in it
+		s.id.Fleet = ""
+	}
+	if s.raft, err = raft.NewRaft(c, s.state, s.guard, s.guard, snaps, s.trans); err != nil {
+		return errors.Join(err, s.trans.Close())
+	}
+	return nil
+}
+
+func random() string {
+	var b [6]byte
+	_, _ = rand.Read(b[:]) // never fails
+	return hex.EncodeToString(b[:])
+}
+
+func sorted[T any](l []T, by func(a, b T) int) []T {
+	slices.SortFunc(l, by)
+	return l
+}
+
+// Now is the reading of this process's monotonic clock that commands carry while it leads.
+func (s *Server) Now() time.Duration { return time.Since(s.boot) }
+
+// Start has it vote. The node must be serving.
+func (s *Server) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	s.end = cancel
+	s.work.Go(func() { s.found(ctx) })
+	s.work.Go(func() { s.follow(ctx) })
+	s.work.Go(func() { s.keepVoters(ctx) })
+}
+
+// Close ends it.
+func (s *Server) Close() {
+	if s.end != nil {
+		s.end()
+	}
+	_ = s.trans.Close()
+	f := s.raft.Shutdown()
+	if s.Stopped() == "" { // one whose goroutine ended by a failed write never says that it is done
+		_ = f.Error()
+	}
+	s.work.Wait()
+	_ = s.guard.BoltStore.Close()
+}
+
+// failed stops a voter whose store has failed. Only a new folder makes a voter of it again where something may be lost.
+func (s *Server) failed(f failure) {
+	if f.lost {
+		_ = replace(filepath.Join(s.opt.Dir, failedFile), []byte(f.err.Error()+"\n")) // the disk may be gone
+	}
+	go s.stop(fmt.Sprintf("its store cannot be trusted any more: %v", f.err)) // not here: the library's goroutine waits for this one
+}
+
+// stop ends the voting of this process for good; all else of it goes on.
+func (s *Server) stop(why string) {
+	s.mu.Lock()
+	first := s.stopped == ""
+	if first {
+		s.stopped = why
+	}
+	s.mu.Unlock()
+	if !first {
+		return
+	}
+	s.opt.Log.Error("this voter has stopped voting", "voter", s.opt.Name, "why", why)
+	s.leading.Store(false)
+	_ = s.trans.Close()
+	s.raft.Shutdown()
+}
+
+// Stopped is why it does not vote any more; empty while it does.
+func (s *Server) Stopped() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stopped
+}
+
+// Status tells how it stands.
+func (s *Server) Status() Status {
+	s.mu.Lock()
+	st := Status{Voter: s.opt.Name, ID: s.name, Fleet: s.id.Fleet, Why: s.stopped, Empty: s.id.Fleet == ""}
+	s.mu.Unlock()
+	st.Term, st.Applied = s.raft.CurrentTerm(), s.raft.AppliedIndex()
+	if info, err := os.Stat(filepath.Join(s.opt.Dir, logFile)); err == nil {
+		st.Bytes = info.Size()
+	}
+	if _, id := s.raft.LeaderWithID(); id != "" {
+		st.Leader = voterOf(string(id))
+	}
+	for _, v := range s.servers() {
+		st.Voters = append(st.Voters, Voter{voterOf(string(v.ID)), afterID(v.Address)})
+	}
+	switch {
+	case st.Why != "":
+		st.State, st.Leader = "stopped", ""
+	case st.Empty || len(st.Voters) == 0:
+		st.State, st.Why = "waiting", "for the other voters: they all must be there once, or have a fleet that takes this one in"
+	default:
+		st.State = strings.ToLower(s.raft.State().String())
+	}
+	return st
+}
+
+func (s *Server) servers() []raft.Server {
+	f := s.raft.GetConfiguration()
+	if f.Error() != nil {
+		return nil
+	}
+	return f.Configuration().Servers
+}
+
+// An ID is a voter's name and what was drawn for its folder; an address on the wire is an ID and where it is reached, so that a
+// connection for one folder is never taken by another one at the same place.
+func voterOf(id string) string {
+	name, _, _ := cutLast(id, ".")
+	return name
+}
+func afterID(a raft.ServerAddress) string {
+	_, addr, _ := strings.Cut(string(a), "@")
+	return addr
+}
+func cutLast(s, sep string) (before, after string, ok bool) {
+	if i := strings.LastIndex(s, sep); i >= 0 {
+		return s[:i], s[i+len(sep):], true
+	}
+	return s, "", false
+}
+
+// found begins a fleet where there is none: the first voter by name does, once every voter has answered that it has never
+// been in one. A voter alone cannot know whether the others have one.
+func (s *Server) found(ctx context.Context) {
+	first := slices.MinFunc(s.opt.Voters, func(a, b Voter) int { return strings.Compare(a.Name, b.Name) })
+	if first.Name != s.opt.Name {
+		return
+	}
+	for ; ; pause(ctx, s.opt.Heartbeat) {
+		s.mu.Lock()
+		in := s.id.Fleet != "" || s.stopped != ""
+		s.mu.Unlock()
+		if in || ctx.Err() != nil {
+			return
+		}
+		var servers []raft.Server
+		for _, v := range s.opt.Voters {
+			st, err := s.ask(ctx, v)
+			if err != nil || !st.Empty || st.Voter != v.Name {
+				break
+			}
+			servers = append(servers, raft.Server{Suffrage: raft.Voter, ID: raft.ServerID(st.ID), Address: raft.ServerAddress(st.ID + "@" + v.Address)})
+		}
+		if len(servers) < len(s.opt.Voters) {
+			continue
+		}
+		if err := s.adopt(random() + random()); err != nil {
+			s.stop(err.Error())
+			return
+		}
+		if err := s.raft.BootstrapCluster(raft.Configuration{Servers: servers}).Error(); err != nil {
+			s.stop(fmt.Sprintf("beginning a fleet: %v", err))
+			return
+		}
+		s.opt.Log.Info("a fleet was founded", "fleet", s.fleetID(), "voters", len(servers))
+		return
+	}
+}
+
+func (s *Server) ask(ctx context.Context, v Voter) (Status, error) {
+	if v.Name == s.opt.Name {
+		return s.Status(), nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, 2*s.opt.Heartbeat)
+	defer cancel()
+	var st Status
+	err := s.node.Call(ctx, v.Address, "/fleet/v1/voter", struct{}{}, &st)
+	return st, err
+}
+
+// adopt takes a fleet's identity, on disk before anything else.
+func (s *Server) adopt(fleet string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.keep(func(id *identity) { id.Fleet = fleet })
+}
+
+// keep changes what the folder says of the voter.
+func (s *Server) keep(change func(id *identity)) error {
+	id := s.id
+	id.Seen = maps.Clone(id.Seen)
+	change(&id)
+	if err := id.write(s.opt.Dir); err != nil {
+		return err
+	}
+	s.id = id
+	return nil
+}
+
+func (s *Server) fleetID() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.id.Fleet
+}
+
+// follow counts every lease anew as soon as this voter leads.
+func (s *Server) follow(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case on := <-s.lead:
+			s.leading.Store(false)
+			if !on {
+				continue
+			}
+			// Tokens of a fleet that is founded anew, after all folders were lost, are higher than the ones before.
+			_, err := s.propose(Command{Op: lead, Fleet: s.fleetID(), Base: uint64(time.Now().UnixMilli())})
+			if err != nil {
+				s.opt.Log.Warn("leading did not begin", "err", err)
+				continue
+			}
+			s.leading.Store(true)
+			s.opt.Log.Info("leads the quorum", "voter", s.opt.Name, "term", s.raft.CurrentTerm())
+		}
+	}
+}
+
+// propose has a command agreed on. The error does not tell whether it was.
+func (s *Server) propose(c Command) (Result, error) {
+	c.Now = s.Now()
+	b, err := json.Marshal(c)
+	if err != nil {
+		return Result{}, err
+	}
+	f := s.raft.Apply(b, 2*s.opt.Heartbeat)
+	if err := f.Error(); err != nil {
+		return Result{}, err
+	}
+	r, ok := f.Response().(Result)
+	if !ok {
+		return Result{}, fmt.Errorf("unexpected answer %T", f.Response())
+	}
+	return r, nil
+}
+
+// reply is what a voter answers to a command.
+type reply struct {
+	Result
+	Done   bool   `json:"done"`             // it was agreed on
+	Leader string `json:"leader,omitempty"` // address of whom to ask instead
+	Why    string `json:"why,omitempty"`
+}
+
+func (s *Server) elsewhere(why string) reply {
+	addr, id := s.raft.LeaderWithID()
+	r := reply{Why: why}
+	if id != raft.ServerID(s.name) && s.Stopped() == "" {
+		r.Leader = afterID(addr)
+	}
+	return r
+}
+
+func (s *Server) command(_ context.Context, body []byte) (any, error) {
+	var c Command
+	if err := json.Unmarshal(body, &c); err != nil {
+		return nil, &peer.Failure{Status: http.StatusBadRequest, Err: err}
+	}
+	switch c.Op {
+	case Acquire, Renew, Release, Revoke, Forget:
+	default:
+		return nil, &peer.Failure{Status: http.StatusBadRequest, Err: fmt.Errorf("no such command: %q", c.Op)}
+	}
+	if !s.leading.Load() {
+		return s.elsewhere("not the leader"), nil
+	}
+	r, err := s.propose(c)
+	if err != nil {
+		return s.elsewhere(err.Error()), nil
+	}
+	return reply{Result: r, Done: true}, nil
+}
+
+// Leases are all, as one voter knows them.
+type Leases struct {
+	Voter  string `json:"voter"`
+	Term   uint64 `json:"term"`
+	Fresh  bool   `json:"fresh"` // the leader's, which a majority confirmed
+	Leases []View `json:"leases"`
+}
+
+func (s *Server) leases(context.Context, []byte) (any, error) {
+	l := Leases{Voter: s.opt.Name, Term: s.raft.CurrentTerm()}
+	now := time.Duration(0)
+	if s.leading.Load() && s.raft.VerifyLeader().Error() == nil {
+		l.Fresh, now = true, s.Now()
+	}
+	l.Leases = s.state.views(now)
+	return l, nil
+}
+
+// keepVoters has the leader take in whoever stands where a voter should: one with an empty folder replaces the one whose
+// folder was lost. It is asked at the voter's own address, so that nobody else can claim its name.
+func (s *Server) keepVoters(ctx context.Context) {
+	for ; ctx.Err() == nil; pause(ctx, 2*s.opt.Heartbeat) {
+		if !s.leading.Load() {
+			continue
+		}
+		for _, v := range s.opt.Voters {
+			if v.Name == s.opt.Name {
+				continue
+			}
+			st, err := s.ask(ctx, v)
+			if err != nil || st.Voter != v.Name || !s.leading.Load() {
+				continue
+			}
+			if err := s.admit(v, st); err != nil {
+				s.opt.Log.Warn("a voter could not be taken in", "voter", v.Name, "err", err)
+			}
+		}
+	}
+}
+
+func (s *Server) admit(v Voter, st Status) error {
+	var old raft.ServerID
+	for _, x := range s.servers() {
+		switch {
+		case string(x.ID) == st.ID:
+			return nil
+		case voterOf(string(x.ID)) == v.Name:
+			old = x.ID
+		}
+	}
+	if !st.Empty { // it has promised something, to whomever: it may not begin anew
+		return nil
+	}
+	if old != "" {
+		if err := s.raft.RemoveServer(old, 0, 2*s.opt.Heartbeat).Error(); err != nil {
+			return err
+		}
+	}
+	s.opt.Log.Info("a voter is taken in", "voter", v.Name, "id", st.ID, "in place of", string(old))
+	return s.raft.AddVoter(raft.ServerID(st.ID), raft.ServerAddress(st.ID+"@"+v.Address), 0, 2*s.opt.Heartbeat).Error()
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// layer has the library's connections go over the node. Both sides say who they are; whoever is of another fleet, was meant
+// for another folder, or is older than what is known of it is refused.
+type layer struct {
+	s    *Server
+	addr address
+	in   chan net.Conn
+	done chan struct{}
+	once sync.Once
+}
+
+type address string
+
+func (a address) Network() string { return "robindrum" }
+func (a address) String() string  { return string(a) }
+
+const (
+	idHeader     = "Robindrum-Voter"
+	toHeader     = "Robindrum-To"
+	bootHeader   = "Robindrum-Boot"
+	startsHeader = "Robindrum-Starts"
+	fleetIDField = "Robindrum-Fleet-Id"
+	streamKind   = "quorum"
+)
+
+func newLayer(s *Server, at string) *layer {
+	l := &layer{s: s, addr: address(s.name + "@" + at), in: make(chan net.Conn), done: make(chan struct{})}
+	s.node.HandleStream(streamKind, func(h http.Header) (http.Header, error) {
+		if to := h.Get(toHeader); to != s.name {
+			return nil, fmt.Errorf("this is voter %s, not %s", s.name, to)
+		}
+		if err := s.meet(h, true); err != nil {
+			return nil, err
+		}
+		return s.card(), nil
+	}, func(c net.Conn) {
+		select {
+		case l.in <- c:
+		case <-l.done:
+			c.Close()
+		}
+	})
+	return l
+}
+
+// card is what this voter says of itself.
+func (s *Server) card() http.Header {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h := http.Header{}
+	h.Set(idHeader, s.name)
+	h.Set(fleetIDField, s.id.Fleet)
+	h.Set(bootHeader, strconv.FormatUint(s.id.Boot, 10))
+	h.Set(startsHeader, strings.Join(s.id.Starts, " "))
+	return h
+}
+
+// errOlder is what a voter is told whose folder is older than what is known of it.
+var errOlder = errors.New("folder is older than what the fleet knows of it")
+
+// meet looks at the other side's card. taken: it came to this one, by its own ID.
+func (s *Server) meet(h http.Header, taken bool) error {
+	id, fleet, starts := h.Get(idHeader), h.Get(fleetIDField), strings.Fields(h.Get(startsHeader))
+	n, err := strconv.ParseUint(h.Get(bootHeader), 10, 64)
+	if err != nil || n == 0 || id == "" || len(id) > 256 || len(starts) == 0 || len(starts) > mostStarts || fleet == "" {
+		return errors.New("who is this?")
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopped != "" {
+		return errors.New(s.stopped)
+	}
+	// Only one who has agreed on this folder's drawn ID knows it, and may say which fleet it is in.
+	if s.id.Fleet != fleet && (s.id.Fleet != "" || !taken) {
+		return fmt.Errorf("this is fleet %s, not %s", s.id.Fleet, fleet)
+	}
+	known := s.id.Seen[id]
+	if !knows(n, starts, known) {
+		return fmt.Errorf("voter %s: its %w (start %d, known %d)", id, errOlder, n, known.Boot)
+	}
+	now := start{n, starts[len(starts)-1]}
+	if s.id.Fleet == fleet && known == now {
+		return nil
+	}
+	return s.keep(func(mine *identity) {
+		mine.Fleet = fleet
+		if len(mine.Seen) >= mostVoters || mine.Seen == nil {
+			mine.Seen = map[string]start{}
+		}
+		mine.Seen[id] = now
+	})
+}
+
+func (l *layer) Dial(to raft.ServerAddress, within time.Duration) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	id, addr, ok := strings.Cut(string(to), "@")
+	if !ok {
+		return nil, fmt.Errorf("%q is no voter's address", to)
+	}
+	h := l.s.card()
+	h.Set(toHeader, id)
+	c, answer, err := l.s.node.Stream(ctx, addr, streamKind, h)
+	if err != nil {
+		if errors.Is(err, peer.ErrOther) && strings.Contains(err.Error(), "voter "+l.s.name+": its "+errOlder.Error()) {
+			l.s.failed(failure{err: err, lost: true})
+		}
+		return nil, err
+	}
+	if answer.Get(idHeader) != id {
+		err = fmt.Errorf("%s answered, not %s", answer.Get(idHeader), id)
+	} else {
+		err = l.s.meet(answer, false)
+	}
+	if err != nil {
+		c.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+func (l *layer) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.in:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+func (l *layer) Close() error {
+	l.once.Do(func() { close(l.done) })
+	return nil
+}
+func (l *layer) Addr() net.Addr { return l.addr }
+
+// lineLog has the library's lines in the log, for those who look closely.
+type lineLog struct{ log *slog.Logger }
+
+func (w *lineLog) Write(b []byte) (int, error) {
+	w.log.Debug("quorum", "line", strings.TrimSpace(string(b)))
+	return len(b), nil
+}
+
+var _ io.Writer = (*lineLog)(nil)
--- /dev/null
+++ b/internal/quorum/state.go
@@ -0,0 +1,218 @@
+package quorum
+
+import (
+	"cmp"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/raft"
+
+	"arrowhitch/internal/lease"
+)
+
+// Op is what a command does.
+type Op string
+
+const (
+	Acquire Op = "acquire"
+	Renew   Op = "renew"
+	Release Op = "release"
+	Revoke  Op = "revoke"
+	Forget  Op = "forget"
+	// The leader's own.
+	lead Op = "lead"
+)
+
+// Command is one entry of the agreed log.
+type Command struct {
+	Op     Op           `json:"op"`
+	Lease  string       `json:"lease,omitempty"`
+	Rules  lease.Rules  `json:"rules,omitzero"`
+	Member lease.Member `json:"member,omitzero"`
+	Token  uint64       `json:"token,omitempty"`
+	Heir   string       `json:"heir,omitempty"`
+
+	// Now is the reading of the leader's monotonic clock, set by the leader.
+	Now   time.Duration `json:"now,omitempty"`
+	Fleet string        `json:"fleet,omitempty"` // lead: the identity that the fleet was founded with
+	Base  uint64        `json:"base,omitempty"`  // lead: tokens are higher than this
+}
+
+// Result is what a command gave.
+type Result struct {
+	Grant lease.Grant `json:"grant,omitzero"`
+	// Code is empty, or why not: waiting, lost, old, full, bad.
+	Code string `json:"code,omitempty"`
+	Text string `json:"text,omitempty"`
+}
+
+var codes = map[string]error{"waiting": lease.ErrWaiting, "lost": lease.ErrLost, "old": lease.ErrOld, "full": lease.ErrFull}
+
+func result(g lease.Grant, err error) Result {
+	if err == nil {
+		return Result{Grant: g}
+	}
+	for code, e := range codes {
+		if errors.Is(err, e) {
+			return Result{Code: code, Text: err.Error()}
+		}
+	}
+	return Result{Code: "bad", Text: err.Error()}
+}
+
+// Err is why not, as one of package lease's errors where it is one.
+func (r Result) Err() error {
+	switch {
+	case r.Code == "":
+		return nil
+	case codes[r.Code] != nil:
+		return fmt.Errorf("%w (%s)", codes[r.Code], r.Text)
+	}
+	return errors.New(r.Text)
+}
+
+// state is what the quorum agrees on. It is the raft library's FSM.
+type state struct {
+	mu    sync.Mutex
+	table *lease.Table
+	fleet string
+}
+
+func newState() *state {
+	return &state{table: lease.NewTable()}
+}
+
+// Apply runs one entry. The same entries give the same state on each voter: time and term come from the entry alone.
+func (s *state) Apply(l *raft.Log) any {
+	var c Command
+	if err := json.Unmarshal(l.Data, &c); err != nil {
+		return Result{Code: "bad", Text: err.Error()}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.apply(l.Term, &c)
+}
+
+func (s *state) apply(term uint64, c *Command) Result {
+	if term > s.table.Term { // the first entry of a term counts every lease anew, whatever it is
+		if err := s.table.Lead(term, c.Now); err != nil {
+			return result(lease.Grant{}, err)
+		}
+	}
+	t := s.table
+	switch c.Op {
+	case lead:
+		if s.fleet == "" {
+			s.fleet = c.Fleet
+			t.Last = max(t.Last, c.Base)
+		}
+		return Result{}
+	case Acquire:
+		return result(t.Acquire(term, c.Now, c.Lease, c.Rules, c.Member))
+	case Renew:
+		return result(t.Renew(term, c.Now, c.Lease, c.Member, c.Token))
+	case Release:
+		return result(lease.Grant{}, t.Release(term, c.Now, c.Lease, c.Member, c.Token, c.Heir))
+	case Revoke:
+		return result(lease.Grant{}, t.Revoke(term, c.Now, c.Lease))
+	case Forget:
+		return result(lease.Grant{}, t.Forget(term, c.Now))
+	}
+	return Result{Code: "bad", Text: fmt.Sprintf("no such command: %q", c.Op)}
+}
+
+// saved is the stored form.
+type saved struct {
+	Format int             `json:"format"`
+	Fleet  string          `json:"fleet"`
+	Table  json.RawMessage `json:"table"`
+}
+
+const format = 1
+
+func (s *state) save() ([]byte, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	table, err := json.Marshal(s.table)
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(saved{format, s.fleet, table})
+}
+
+func (s *state) load(text []byte) error {
+	var v saved
+	if err := json.Unmarshal(text, &v); err != nil {
+		return fmt.Errorf("snapshot: %w", err)
+	}
+	if v.Format != format {
+		return fmt.Errorf("snapshot: format %d, this program reads %d", v.Format, format)
+	}
+	t, err := lease.Restore(v.Table)
+	if err != nil {
+		return fmt.Errorf("snapshot: %w", err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table, s.fleet = t, v.Fleet
+	return nil
+}
+
+type snapshot []byte
+
+// Snapshot is the raft library's.
+func (s *state) Snapshot() (raft.FSMSnapshot, error) {
+	b, err := s.save()
+	return snapshot(b), err
+}
+
+func (b snapshot) Persist(sink raft.SnapshotSink) error {
+	if _, err := sink.Write(b); err != nil {
+		return errors.Join(err, sink.Cancel())
+	}
+	return sink.Close()
+}
+func (b snapshot) Release() {}
+
+// mostSnapshot bounds what is read of a snapshot.
+const mostSnapshot = 64 << 20
+
+// Restore is the raft library's.
+func (s *state) Restore(r io.ReadCloser) error {
+	defer r.Close()
+	b, err := io.ReadAll(io.LimitReader(r, mostSnapshot))
+	if err != nil {
+		return err
+	}
+	return s.load(b)
+}
+
+// View is one lease for people and programs to look at.
+type View struct {
+	Name   string        `json:"name"`
+	Holder lease.Member  `json:"holder,omitzero"`
+	Token  uint64        `json:"token"`
+	Left   time.Duration `json:"left"` // until it may be given away, as of the last command
+	Length time.Duration `json:"length"`
+	Line   []string      `json:"line,omitempty"`
+	Heir   string        `json:"heir,omitempty"`
+	Revoke bool          `json:"revoked,omitempty"`
+}
+
+func (s *state) views(now time.Duration) []View {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var l []View
+	for name, x := range s.table.Leases {
+		v := View{Name: name, Holder: x.Holder, Token: x.Token, Left: max(x.Until-max(now, s.table.Now), 0), Length: x.Rules.Length, Heir: x.Heir, Revoke: x.Revoked}
+		for _, w := range x.Line {
+			v.Line = append(v.Line, w.Member.Name)
+		}
+		l = append(l, v)
+	}
+	return sorted(l, func(a, b View) int { return cmp.Compare(a.Name, b.Name) })
+}
