--- a/cmd/robindrum/serve.go
+++ b/cmd/robindrum/serve.go
@@ -43,12 +43,8 @@
 			ctx := c.Context()
 			if parent {
 				var cancel context.CancelFunc
-				ctx, cancel = context.WithCancel(ctx)
+				ctx, cancel = untilParent(ctx, c.InOrStdin())
 				defer cancel()
-				go func() {
-					_, _ = io.Copy(io.Discard, c.InOrStdin())
-					cancel()
-				}()
 			}
 			return serve(ctx, path, hup, c.ErrOrStderr())
 		}}
@@ -59,6 +55,16 @@
 	return c
 }
 
+// untilParent gives a context that ends with standard input: the parent has it, and its end comes also where it is killed.
+func untilParent(ctx context.Context, in io.Reader) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		_, _ = io.Copy(io.Discard, in)
+		cancel()
+	}()
+	return ctx, cancel
+}
+
 // must is for errors that only a mistake in this program can cause.
 func must(err error) {
 	if err != nil {
@@ -121,6 +127,9 @@
 				fmt.Fprintln(c.ErrOrStderr(), err)
 				return errReported
 			}
+			for _, w := range f.Warnings() {
+				fmt.Fprintf(c.ErrOrStderr(), "%s: warning: %s\n", path, w)
+			}
 			if !show {
 				fmt.Fprintf(c.OutOrStdout(), "%s: %d listeners, %d clusters, %d routes, %d classes: good\n", path, len(f.Listeners),
 					len(f.Clusters), len(f.Routes), len(f.Classes))
@@ -144,28 +153,12 @@
 	var plain bool
 	c := &cobra.Command{Use: "status", Short: "Ask a running gateway how it stands", Args: noArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			ctx, cancel := context.WithTimeout(c.Context(), 10*time.Second)
-			defer cancel()
-			r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/status", nil)
-			if err != nil {
-				return fmt.Errorf("%w: %w", err, errUsage)
-			}
-			resp, err := http.DefaultClient.Do(r)
-			if err != nil {
-				return err
-			}
-			defer resp.Body.Close()
-			if resp.StatusCode != http.StatusOK {
-				return fmt.Errorf("%s answered %s", addr, resp.Status)
-			}
-			body := io.LimitReader(resp.Body, 256<<20)
 			if plain {
-				_, err := io.Copy(c.OutOrStdout(), body)
-				return err
+				return ask(c, http.MethodGet, addr, "/status", c.OutOrStdout())
 			}
 			var s gateway.Status
-			if err := json.NewDecoder(body).Decode(&s); err != nil {
-				return fmt.Errorf("%s: %w", addr, err)
+			if err := ask(c, http.MethodGet, addr, "/status", &s); err != nil {
+				return err
 			}
 			return show(c.OutOrStdout(), &s)
 		}}
@@ -174,6 +167,34 @@
 	return c
 }
 
+// ask asks an admin listener, and reads the answer into a writer, or as JSON into what out points to.
+func ask(c *cobra.Command, method, addr, path string, out any) error {
+	ctx, cancel := context.WithTimeout(c.Context(), 10*time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, nil)
+	if err != nil {
+		return fmt.Errorf("%w: %w", err, errUsage)
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	body := io.LimitReader(resp.Body, 256<<20)
+	if resp.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(io.LimitReader(body, 4<<10))
+		return fmt.Errorf("%s answered %s: %s", addr, resp.Status, strings.TrimSpace(string(text)))
+	}
+	if w, ok := out.(io.Writer); ok {
+		_, err := io.Copy(w, body)
+		return err
+	}
+	if err := json.NewDecoder(body).Decode(out); err != nil {
+		return fmt.Errorf("%s: %w", addr, err)
+	}
+	return nil
+}
+
 // show prints a status for people.
 func show(out io.Writer, s *gateway.Status) error {
 	yes := map[bool]string{true: "yes", false: "NO"}
@@ -200,6 +221,9 @@
 			}
 		}
 	}
+	if err := showSubscription(out, s); err != nil {
+		return err
+	}
 	if s.Routes.Pending {
 		fmt.Fprintln(out, "new routes wait for their clusters' endpoints")
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -29,6 +29,7 @@
 	XDS       *XDS       `yaml:"xds,omitempty"`
 	Clusters  []Cluster  `yaml:"clusters"`
 	Zones     *Zones     `yaml:"zones,omitempty"`
+	Fleet     *Fleet     `yaml:"fleet,omitempty"`
 	Routes    []Route    `yaml:"routes"`
 
 	RateLimits []RateLimit `yaml:"rate_limits,omitempty"`
@@ -307,11 +308,19 @@
 
 // Load reads and checks a file.
 func Load(path string) (*File, error) {
+	text, err := readFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(path, text)
+}
+
+func readFile(path string) ([]byte, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return nil, Errors{{File: path, Reason: err.Error()}}
 	}
-	return Parse(path, text)
+	return text, nil
 }
 
 // Parse checks a file's text and fills in the defaults. The error is of type Errors.
@@ -334,11 +343,13 @@
 func (f *File) Path() string { return f.path }
 
 // Resolve gives a name in the file as seen from its folder.
-func (f *File) Resolve(name string) string {
-	if filepath.IsAbs(name) {
+func (f *File) Resolve(name string) string { return under(f.dir, name) }
+
+func under(dir, name string) string {
+	if filepath.IsAbs(name) || name == "" {
 		return name
 	}
-	return filepath.Join(f.dir, name)
+	return filepath.Join(dir, name)
 }
 
 // Print gives the file with all that was left out.
@@ -384,16 +395,7 @@
 		}
 	}
 	f.checkAdmin(d)
-	switch f.Log.Format {
-	case "text", "json":
-	default:
-		d.at("log.format", "want text or json, not %q", f.Log.Format)
-	}
-	switch f.Log.Level {
-	case "debug", "info", "warn", "error":
-	default:
-		d.at("log.level", "want debug, info, warn or error, not %q", f.Log.Level)
-	}
+	f.checkLog(d)
 	if f.Gateway.Of < 1 || f.Gateway.Number < 0 || f.Gateway.Number >= f.Gateway.Of {
 		d.at("gateway", "number %d of %d: it counts from 0 and is below of", f.Gateway.Number, f.Gateway.Of)
 	}
@@ -427,11 +429,30 @@
 	}
 	f.checkXDS(d)
 	f.checkZones(d)
+	if f.Fleet != nil {
+		f.Fleet.check(d)
+		if f.Fleet.Subscription != nil && (f.XDS == nil || len(f.XDS.Servers) == 0) {
+			d.at("fleet.subscription", "there are no xds.servers to subscribe to")
+		}
+	}
 	f.checkLimits(d)
 	f.checkRateLimits(d, classes)
 	f.checkRoutes(d, classes, clusters)
 }
 
+func (f *File) checkLog(d *decoder) {
+	switch f.Log.Format {
+	case "text", "json":
+	default:
+		d.at("log.format", "want text or json, not %q", f.Log.Format)
+	}
+	switch f.Log.Level {
+	case "debug", "info", "warn", "error":
+	default:
+		d.at("log.level", "want debug, info, warn or error, not %q", f.Log.Level)
+	}
+}
+
 func (f *File) checkAdmin(d *decoder) {
 	if f.Admin.Address == "none" {
 		return
--- a/internal/config/defaults.go
+++ b/internal/config/defaults.go
@@ -58,6 +58,10 @@
 	if z := f.Zones; z != nil {
 		z.fill()
 	}
+	if f.Fleet != nil {
+		f.Fleet.fill()
+		f.Fleet.Quorum.Folder = f.Resolve(f.Fleet.Quorum.Folder)
+	}
 	if x := f.XDS; x != nil {
 		set(&x.Node.Cluster, "robindrum")
 		set(&x.InitialFetchTimeout, Duration(15*time.Second))
--- /dev/null
+++ b/internal/config/fleet.go
@@ -0,0 +1,264 @@
+package config
+
+import (
+	"fmt"
+	"net"
+	"net/url"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"arrowhitch/internal/lease"
+	"arrowhitch/internal/peer"
+)
+
+// Fleet is this process's place among the others. Where it is missing the process knows of no other one. Changes count from
+// the next start on.
+type Fleet struct {
+	Name   string `yaml:"name"`   // of the fleet; processes of another one are refused
+	Member string `yaml:"member"` // of this process, which no other one has
+	Site   string `yaml:"site,omitempty"`
+	// Address is for the others alone: calls, streams and packets, over TCP and UDP. Whoever reaches it is believed.
+	Address   string   `yaml:"address"`
+	Advertise string   `yaml:"advertise,omitempty"` // how the others reach it; Address where empty
+	Remote    bool     `yaml:"remote"`              // Address may be one that is not on loopback
+	Seeds     []string `yaml:"seeds,omitempty"`     // addresses of some members
+	Via       []Via    `yaml:"via,omitempty"`       // other addresses by which members are reached from here
+	Probe     Duration `yaml:"probe"`               // between two probes of the others
+	Forget    Duration `yaml:"forget"`              // a dead member is gone after so long
+	Lease     Duration `yaml:"lease"`               // how long a duty is held at the most without word of the quorum
+	Quorum    Quorum   `yaml:"quorum"`
+	// Subscription: one to the control plane for all gateways of the site.
+	Subscription *Subscription `yaml:"subscription,omitempty"`
+	Posts        []Post        `yaml:"posts,omitempty"`
+}
+
+// Via is how one member is reached from here, by forwarding or a tunnel.
+type Via struct {
+	Member string `yaml:"member"` // the address that it is known by
+	At     string `yaml:"at"`
+}
+
+// Quorum are the voters that agree on who holds what.
+type Quorum struct {
+	Voters    []Voter  `yaml:"voters"`           // one for a try, three or five
+	Folder    string   `yaml:"folder,omitempty"` // of this process's log, where it is one of them
+	Heartbeat Duration `yaml:"heartbeat"`        // without word of the leader for so long a voter stands for election
+	MostBytes Size     `yaml:"most_bytes"`       // of the log
+}
+
+// Voter is one of them, by its member's name.
+type Voter struct {
+	Name    string `yaml:"name"`
+	Address string `yaml:"address"`
+}
+
+// Subscription is how the gateways of a site share one.
+type Subscription struct {
+	OwnAfter  Duration `yaml:"own_after"` // without word of a holder, each asks the control plane itself
+	Spread    Duration `yaml:"spread"`    // over so long, by chance
+	Heartbeat Duration `yaml:"heartbeat"` // between two signs of life of the holder
+}
+
+// Post is a duty: one process of the fleet posts to a URL, again and again, with its token in the header Robindrum-Token.
+// What is posted to is to refuse a token lower than the highest that it has seen.
+type Post struct {
+	Name    string   `yaml:"name"`
+	URL     string   `yaml:"url"`
+	Every   Duration `yaml:"every"`
+	Timeout Duration `yaml:"timeout"`
+}
+
+// Bounds of a fleet's names, as its members tell each other of them.
+const mostFleetName = 64
+
+func (f *Fleet) fill() {
+	set(&f.Address, "127.0.0.1:7600")
+	set(&f.Advertise, f.Address)
+	set(&f.Probe, Duration(time.Second))
+	set(&f.Forget, Duration(time.Hour))
+	set(&f.Lease, Duration(10*time.Second))
+	set(&f.Quorum.Heartbeat, Duration(500*time.Millisecond))
+	set(&f.Quorum.MostBytes, 256<<20)
+	if s := f.Subscription; s != nil {
+		set(&s.OwnAfter, Duration(5*time.Second))
+		set(&s.Spread, Duration(5*time.Second))
+		set(&s.Heartbeat, Duration(time.Second))
+	}
+	for i := range f.Posts {
+		set(&f.Posts[i].Every, Duration(10*time.Second))
+		set(&f.Posts[i].Timeout, Duration(5*time.Second))
+	}
+}
+
+// Votes tells whether this process is one of the voters.
+func (f *Fleet) Votes() bool {
+	for _, v := range f.Quorum.Voters {
+		if v.Name == f.Member {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *Fleet) check(d *decoder) {
+	text := func(field, s string, needed bool) {
+		switch {
+		case s == "" && needed:
+			d.at(field, "is missing")
+		case len(s) > mostFleetName:
+			d.at(field, "%d bytes, %d at most", len(s), mostFleetName)
+		case strings.ContainsFunc(s, func(r rune) bool { return r <= ' ' || r == '@' || r > '~' }):
+			d.at(field, "%q: letters, digits and signs but @ and spaces", s)
+		}
+	}
+	text("fleet.name", f.Name, true)
+	text("fleet.member", f.Member, true)
+	text("fleet.site", f.Site, false)
+	ip := func(field, s string, zero bool) {
+		if !address(d, field, s, zero) {
+			return
+		}
+		if host, _, _ := net.SplitHostPort(s); net.ParseIP(host) == nil || net.ParseIP(host).IsUnspecified() && field != "fleet.address" {
+			d.at(field, "%q is not an IP address with a port", s)
+		}
+	}
+	ip("fleet.address", f.Address, false)
+	ip("fleet.advertise", f.Advertise, false)
+	if host, _, _ := net.SplitHostPort(f.Address); !f.Remote && net.ParseIP(host) != nil && !net.ParseIP(host).IsLoopback() {
+		d.at("fleet.address", "%s is not on loopback; whoever reaches it is believed, say fleet.remote: true if that is meant", f.Address)
+	}
+	for i, s := range f.Seeds {
+		ip(fmt.Sprintf("fleet.seeds[%d]", i), s, false)
+	}
+	for i, v := range f.Via {
+		address(d, fmt.Sprintf("fleet.via[%d].member", i), v.Member, false)
+		address(d, fmt.Sprintf("fleet.via[%d].at", i), v.At, false)
+	}
+	bound(d, "fleet.probe", f.Probe, 10*time.Millisecond, time.Minute)
+	bound(d, "fleet.forget", f.Forget, f.Probe.D(), 24*time.Hour)
+	bound(d, "fleet.lease", f.Lease, lease.LeastLength, lease.MostLength)
+	f.checkQuorum(d, text, ip)
+	if s := f.Subscription; s != nil {
+		if f.Site == "" {
+			d.at("fleet.subscription", "needs fleet.site: it is one for each site")
+		}
+		bound(d, "fleet.subscription.own_after", s.OwnAfter, 10*time.Millisecond, time.Hour)
+		bound(d, "fleet.subscription.spread", s.Spread, time.Millisecond, time.Hour)
+		bound(d, "fleet.subscription.heartbeat", s.Heartbeat, 10*time.Millisecond, s.OwnAfter.D()/2)
+	}
+	names := map[string]bool{}
+	for i, p := range f.Posts {
+		at := fmt.Sprintf("fleet.posts[%d]", i)
+		text(at+".name", p.Name, true)
+		if names[p.Name] {
+			d.at(at+".name", "%q stands twice", p.Name)
+		}
+		names[p.Name] = true
+		if u, err := url.Parse(p.URL); err != nil || u.Scheme != "http" || u.Host == "" {
+			d.at(at+".url", "%q is not an http URL", p.URL)
+		}
+		bound(d, at+".every", p.Every, 10*time.Millisecond, 24*time.Hour)
+		bound(d, at+".timeout", p.Timeout, 10*time.Millisecond, time.Minute)
+	}
+}
+
+func (f *Fleet) checkQuorum(d *decoder, text func(string, string, bool), ip func(string, string, bool)) {
+	q := &f.Quorum
+	switch len(q.Voters) {
+	case 1, 3, 5:
+	default:
+		d.at("fleet.quorum.voters", "want 3 or 5 (1 for a try), not %d", len(q.Voters))
+	}
+	seen := map[string]bool{}
+	for i, v := range q.Voters {
+		at := fmt.Sprintf("fleet.quorum.voters[%d]", i)
+		text(at+".name", v.Name, true)
+		ip(at+".address", v.Address, false)
+		if seen[v.Name] || seen[v.Address] {
+			d.at(at, "%s %s stands twice", v.Name, v.Address)
+		}
+		seen[v.Name], seen[v.Address] = true, true
+		if v.Name == f.Member && v.Address != f.Advertise {
+			d.at(at+".address", "%s, but this process is reached at %s", v.Address, f.Advertise)
+		}
+	}
+	if f.Votes() && q.Folder == "" {
+		d.at("fleet.quorum.folder", "is missing: %s is a voter, and what it promises must outlast a crash", f.Member)
+	}
+	bound(d, "fleet.quorum.heartbeat", q.Heartbeat, 20*time.Millisecond, 10*time.Second)
+	if 4*q.Heartbeat > f.Lease {
+		d.at("fleet.lease", "%v, want four times fleet.quorum.heartbeat (%v) at the least: a lease is to outlast an election", f.Lease.D(), q.Heartbeat.D())
+	}
+	if q.MostBytes < 1<<20 {
+		d.at("fleet.quorum.most_bytes", "want 1MiB at the least")
+	}
+}
+
+func bound(d *decoder, field string, v Duration, least, most time.Duration) {
+	if v.D() < least || v.D() > most {
+		d.at(field, "want %v to %v, not %v", least, most, v.D())
+	}
+}
+
+// Warnings are what can be used and should be looked at.
+func (f *File) Warnings() []string {
+	if f.Fleet == nil {
+		return nil
+	}
+	return f.Fleet.warnings()
+}
+
+func (f *Fleet) warnings() (l []string) {
+	if !peer.Private(f.Address) {
+		l = append(l, fmt.Sprintf("fleet.address: %s is not on a private address: whoever reaches it is believed", f.Address))
+	}
+	if len(f.Quorum.Voters) == 1 {
+		l = append(l, "fleet.quorum.voters: with one voter nothing is agreed on while it is away")
+	}
+	return l
+}
+
+// WitnessFile is the file of a process that votes and serves no traffic.
+type WitnessFile struct {
+	Fleet Fleet `yaml:"fleet"`
+	Admin Admin `yaml:"admin"`
+	Log   Log   `yaml:"log"`
+
+	dir string
+}
+
+// LoadWitness reads and checks one. The error is of type Errors.
+func LoadWitness(path string) (*WitnessFile, error) {
+	text, err := readFile(path)
+	if err != nil {
+		return nil, err
+	}
+	w := &WitnessFile{dir: filepath.Dir(path)}
+	d := &decoder{file: path}
+	d.decode(text, w)
+	if err := d.sorted(); err != nil {
+		return nil, err
+	}
+	f := &File{Admin: w.Admin, Log: w.Log}
+	f.fill()
+	w.Fleet.fill()
+	f.checkAdmin(d)
+	f.checkLog(d)
+	w.Fleet.check(d)
+	if !w.Fleet.Votes() {
+		d.at("fleet.member", "%q is not among fleet.quorum.voters: a witness votes and does nothing else", w.Fleet.Member)
+	}
+	if w.Fleet.Subscription != nil || len(w.Fleet.Posts) > 0 {
+		d.at("fleet", "a witness has no duties: leave subscription and posts out")
+	}
+	w.Admin, w.Log = f.Admin, f.Log
+	w.Fleet.Quorum.Folder = under(w.dir, w.Fleet.Quorum.Folder)
+	if err := d.sorted(); err != nil {
+		return nil, err
+	}
+	return w, nil
+}
+
+// Warnings are what can be used and should be looked at.
+func (w *WitnessFile) Warnings() []string { return w.Fleet.warnings() }
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,283 @@
+// Package fleet wires a process to the others of its fleet by its configuration: its one address, the members, its vote, and
+// the duties that it may hold. Nothing on a request's path waits for it or asks it.
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"runtime/debug"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"arrowhitch/internal/config"
+	"arrowhitch/internal/duty"
+	"arrowhitch/internal/lease"
+	"arrowhitch/internal/members"
+	"arrowhitch/internal/peer"
+	"arrowhitch/internal/quorum"
+)
+
+// Fleet is one process's place. Its methods may be called by several goroutines at once.
+type Fleet struct {
+	conf   *config.Fleet
+	log    *slog.Logger
+	now    func() time.Duration
+	node   *peer.Node
+	list   *members.List
+	server *quorum.Server // nil: it does not vote
+	client *quorum.Client
+	runner *duty.Runner
+	duties []duty.Duty
+	noVote string // why a voter does not vote from its start on
+	post   *http.Client
+	life   context.Context
+	end    context.CancelFunc
+	work   sync.WaitGroup
+}
+
+// Version is this program's.
+func Version() string {
+	if i, ok := debug.ReadBuildInfo(); ok && i.Main.Version != "" {
+		return i.Main.Version[:min(len(i.Main.Version), 48)]
+	}
+	return "unknown"
+}
+
+// ConfigVersion stands for a configuration's contents.
+func ConfigVersion(text []byte) string {
+	d := sha256.Sum256(text)
+	return hex.EncodeToString(d[:6])
+}
+
+// New opens the address and, where this process is a voter, its folder. A folder that cannot be used keeps it from voting
+// and from nothing else: see NoVote. Start has it speak.
+func New(c *config.Fleet, zone, version string, state members.State, log *slog.Logger) (*Fleet, error) {
+	via := map[string]string{}
+	for _, v := range c.Via {
+		via[v.Member] = v.At
+	}
+	now := Clock
+	f := &Fleet{conf: c, log: log, now: now, post: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: 30 * time.Second}}}
+	f.life, f.end = context.WithCancel(context.Background())
+	var err error
+	if f.node, err = peer.Listen(peer.Options{Fleet: c.Name, Address: c.Address, Via: via, Log: log}); err != nil {
+		return nil, err
+	}
+	voters := make([]quorum.Voter, 0, len(c.Quorum.Voters))
+	for _, v := range c.Quorum.Voters {
+		voters = append(voters, quorum.Voter(v))
+	}
+	if c.Votes() {
+		f.server, err = quorum.Open(f.node, quorum.Options{Dir: c.Quorum.Folder, Name: c.Member, Voters: voters, Heartbeat: c.Quorum.Heartbeat.D(),
+			MostBytes: int64(c.Quorum.MostBytes), Log: log})
+		if err != nil {
+			f.noVote = err.Error()
+			log.Error("this process does not vote", "err", err)
+		}
+	}
+	f.client = quorum.NewClient(f.node, voters, min(2*c.Quorum.Heartbeat.D(), c.Lease.D()/4), now)
+	// Births rise with each start as long as the clock does not go back by more than a process lives.
+	self := members.Member{Name: c.Member, Site: c.Site, Zone: zone, Program: Version(), Config: version, Birth: uint64(time.Now().UnixNano()), State: state, Address: c.Advertise}
+	f.runner = duty.NewRunner(f.client, duty.Options{Member: lease.Member{Name: c.Member, Birth: self.Birth, Site: c.Site}, Now: now, Log: log})
+	for _, p := range c.Posts {
+		f.Add(duty.Duty{Name: "post/" + p.Name, Rules: f.Rules(""), Run: f.poster(p)})
+	}
+	if f.list, err = members.Start(f.node, members.Options{Fleet: c.Name, Self: self, Seeds: c.Seeds, Probe: c.Probe.D(), Forget: c.Forget.D(), Now: now, Log: log}); err != nil {
+		f.Stop(0)
+		return nil, err
+	}
+	return f, nil
+}
+
+// Rules are of a duty's lease, by preference of a site. Whoever waits for three lengths is not passed over any more.
+func (f *Fleet) Rules(site string) lease.Rules {
+	return lease.Rules{Length: f.conf.Lease.D(), Site: site, Patience: min(3*f.conf.Lease.D(), lease.MostLength), Floor: 0}
+}
+
+// Add has a duty asked for from Start on.
+func (f *Fleet) Add(d duty.Duty) { f.duties = append(f.duties, d) }
+
+// Node is its address, for handlers that are registered before Start.
+func (f *Fleet) Node() *peer.Node { return f.node }
+
+// Members are who is there.
+func (f *Fleet) Members() members.View { return f.list }
+
+// Conf is what it was made from.
+func (f *Fleet) Conf() *config.Fleet { return f.conf }
+
+// NoVote is why a voter does not vote; empty: it does, or is none.
+func (f *Fleet) NoVote() string {
+	if f.noVote == "" && f.server != nil {
+		return f.server.Stopped()
+	}
+	return f.noVote
+}
+
+// Start has it speak: with the members, as a voter, and for the duties.
+func (f *Fleet) Start() {
+	f.node.Serve()
+	if f.server != nil {
+		f.server.Start()
+	}
+	for _, d := range f.duties {
+		f.work.Go(func() { f.runner.Run(f.life, d) })
+	}
+}
+
+// Say changes what this process says of itself.
+func (f *Fleet) Say(s members.State, version string) { f.list.Say(s, version) }
+
+// Drain ends the duties and gives their leases back; all else goes on.
+func (f *Fleet) Drain() {
+	f.end()
+	f.list.Say(members.Draining, f.list.Self().Config)
+}
+
+// Stop ends the duties, gives their leases back, says that this process leaves, within so long, and ends.
+func (f *Fleet) Stop(within time.Duration) {
+	f.end()
+	f.work.Wait()
+	if f.list != nil {
+		f.list.Say(members.Leaving, f.list.Self().Config)
+		f.list.Stop(within)
+	}
+	if f.server != nil {
+		f.server.Close()
+	}
+	f.node.Close()
+	f.post.CloseIdleConnections()
+}
+
+// poster is the duty of a post.
+func (f *Fleet) poster(p config.Post) func(context.Context, *duty.Hold) {
+	return func(ctx context.Context, h *duty.Hold) {
+		tick := time.NewTicker(p.Every.D())
+		defer tick.Stop()
+		for n := 0; ; n++ {
+			if err := f.postOnce(ctx, p, h, n); err != nil && ctx.Err() == nil {
+				f.log.Warn("a post was not taken", "post", p.Name, "err", err)
+			}
+			select {
+			case <-ctx.Done():
+				return
+			case <-tick.C:
+			}
+		}
+	}
+}
+
+// Headers of a post.
+const (
+	TokenHeader  = "Robindrum-Token"
+	MemberHeader = "Robindrum-Member"
+	BeganHeader  = "Robindrum-Began" // the reading of this machine's clock by which the lease was judged, in nanoseconds
+	NumberHeader = "Robindrum-Number"
+)
+
+func (f *Fleet) postOnce(ctx context.Context, p config.Post, h *duty.Hold, n int) error {
+	token, at, ok := h.Token()
+	if !ok {
+		return errors.New("the lease is over")
+	}
+	ctx, cancel := context.WithTimeout(ctx, p.Timeout.D())
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, p.URL, bytes.NewReader(nil))
+	if err != nil {
+		return err
+	}
+	r.Header.Set(TokenHeader, strconv.FormatUint(token, 10))
+	r.Header.Set(MemberHeader, f.conf.Member)
+	r.Header.Set(BeganHeader, strconv.FormatInt(int64(at), 10))
+	r.Header.Set(NumberHeader, strconv.Itoa(n))
+	resp, err := f.post.Do(r)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, 1<<20))
+	if resp.StatusCode/100 != 2 {
+		return fmt.Errorf("%s answered %s", p.URL, resp.Status)
+	}
+	return nil
+}
+
+// Status is how this process stands in its fleet.
+type Status struct {
+	Name      string           `json:"name"`
+	Self      members.Member   `json:"self"`
+	Members   []members.Member `json:"members"`
+	Conflicts int              `json:"conflicts"`
+	Contact   quorum.Contact   `json:"quorum"`
+	Vote      *quorum.Status   `json:"vote,omitempty"`
+	NoVote    string           `json:"no_vote,omitempty"`
+	Duties    []duty.Status    `json:"duties"`
+	Sent      int64            `json:"sent_bytes"`
+	// Stale says what needs the quorum and has not had it for longer than a lease.
+	Stale string        `json:"stale,omitempty"`
+	Now   time.Duration `json:"now"`
+}
+
+// Status tells how it stands.
+func (f *Fleet) Status() Status {
+	s := Status{Name: f.conf.Name, Self: f.list.Self(), Members: f.list.Members(), Conflicts: f.list.Conflicts(), Contact: f.client.Contact(), NoVote: f.NoVote(),
+		Duties: f.runner.Status(), Sent: f.node.Sent(), Now: f.now()}
+	slices.SortFunc(s.Duties, func(a, b duty.Status) int { return strings.Compare(a.Name, b.Name) })
+	if f.server != nil {
+		v := f.server.Status()
+		s.Vote = &v
+	}
+	if len(f.duties) > 0 && s.Contact.Error != "" && (s.Contact.Age < 0 || s.Contact.Age > f.conf.Lease.D()) {
+		s.Stale = "no word of the quorum: nobody takes a duty over, what is served stays as it is"
+	}
+	return s
+}
+
+// Leases asks the quorum for all leases.
+func (f *Fleet) Leases(ctx context.Context) (quorum.Leases, error) { return f.client.Leases(ctx) }
+
+// Revoke has a lease end with the length that its holder was granted last.
+func (f *Fleet) Revoke(ctx context.Context, name string) error {
+	r, _, err := f.client.Do(ctx, quorum.Command{Op: quorum.Revoke, Lease: name})
+	if err != nil {
+		return err
+	}
+	return r.Err()
+}
+
+// Handler answers the operators: GET /fleet, GET /fleet/leases, POST /fleet/revoke?lease=NAME.
+func (f *Fleet) Handler() http.Handler {
+	mux := http.NewServeMux()
+	answer := func(w http.ResponseWriter, v any, err error) {
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		e := json.NewEncoder(w)
+		e.SetIndent("", "  ")
+		_ = e.Encode(v) // to one who has left
+	}
+	mux.HandleFunc("GET /fleet", func(w http.ResponseWriter, _ *http.Request) { answer(w, f.Status(), nil) })
+	mux.HandleFunc("GET /fleet/leases", func(w http.ResponseWriter, r *http.Request) {
+		l, err := f.Leases(r.Context())
+		answer(w, l, err)
+	})
+	mux.HandleFunc("POST /fleet/revoke", func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithTimeout(r.Context(), 10*time.Second)
+		defer cancel()
+		answer(w, struct{}{}, f.Revoke(ctx, r.URL.Query().Get("lease")))
+	})
+	return mux
+}
--- a/internal/gateway/admin.go
+++ b/internal/gateway/admin.go
@@ -14,6 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"arrowhitch/internal/config"
+	"arrowhitch/internal/share"
 	"arrowhitch/internal/zone"
 )
 
@@ -95,6 +96,10 @@
 		_ = e.Encode(g.Status(n)) // to one who has left
 	})
 	mux.HandleFunc("POST /capture", g.capture)
+	if g.fleet != nil {
+		mux.Handle("/fleet", g.fleet.Handler())
+		mux.Handle("/fleet/", g.fleet.Handler())
+	}
 	return mux
 }
 
@@ -147,6 +152,17 @@
 		"responses": newMetric(c, "xds_responses_total", "Responses of the source by whether they were accepted.", "source", "type", "result"),
 		"held":      newMetric(v, "limit_used", "What is held, or kept for a cluster, of a limit.", "limit"),
 		"most":      newMetric(v, "limit_most", "A limit.", "limit"),
+
+		"fmembers":   newMetric(v, "fleet_members", "Members of the fleet by state, as this process sees them.", "state"),
+		"fconflicts": newMetric(c, "fleet_name_conflicts_total", "Claims of a member's name by another address."),
+		"fcontact":   newMetric(v, "fleet_quorum_contact_age_seconds", "Since the leader last answered this process; negative: never."),
+		"fsent":      newMetric(c, "fleet_sent_bytes_total", "Bytes of calls and packets to other members."),
+		"fvote":      newMetric(v, "fleet_voter", "1 for the state that this voter is in.", "state"),
+		"fduty":      newMetric(v, "fleet_duty_held", "1 where this process holds the duty.", "duty"),
+		"fheld":      newMetric(c, "fleet_duty_grants_total", "How often this process was granted the duty.", "duty"),
+		"foverdue":   newMetric(c, "fleet_duty_overdue_total", "How often the duty did not end before its lease.", "duty"),
+		"fmode":      newMetric(v, "fleet_subscription", "1 for where this gateway's word of the control plane comes from.", "mode"),
+		"fheard":     newMetric(v, "fleet_subscription_heard_seconds", "Since a holder of the subscription last spoke."),
 	}
 }
 
@@ -229,6 +245,15 @@
 			put("age", *cl.Age, cl.Name)
 		}
 	}
+	if s.Fleet != nil {
+		collectFleet(s.Fleet, put)
+	}
+	if sub := s.Subscription; sub != nil {
+		for _, mode := range []share.Mode{share.Waiting, share.Following, share.Own, share.Holding} {
+			put("fmode", yes(sub.Mode == mode), string(mode))
+		}
+		put("fheard", sub.Heard)
+	}
 	for _, src := range s.Sources {
 		put("connected", yes(src.Connected != ""), src.Name)
 		if src.Heard != nil {
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -239,9 +239,13 @@
 		} else {
 			opt.Node = nodeOf(f)
 			x := f.XDS
-			n.src = xds.NewClient(xds.ClientOptions{Options: opt, Servers: x.Servers, ConnectTimeout: x.ConnectTimeout.D(),
-				BackoffBase: x.BackoffBase.D(), BackoffMost: x.BackoffMost.D(), Keepalive: x.Keepalive.D(), Message: int(x.Message),
-				Now: g.Now, Log: g.log}, n)
+			o := xds.ClientOptions{Options: opt, Servers: x.Servers, ConnectTimeout: x.ConnectTimeout.D(), BackoffBase: x.BackoffBase.D(),
+				BackoffMost: x.BackoffMost.D(), Keepalive: x.Keepalive.D(), Message: int(x.Message), Now: g.Now, Log: g.log}
+			if g.fleet != nil && g.fleet.Conf().Subscription != nil {
+				n.src = newShared(g.fleet, o, g.log, n)
+			} else {
+				n.src = xds.NewClient(o, n)
+			}
 		}
 		feeds[name] = n
 	}
@@ -262,6 +266,10 @@
 		}
 	}
 	g.feeds = feeds
+	if f := feeds[xdsFeed]; f != nil {
+		s, _ := f.src.(*shared)
+		g.shared.Store(s)
+	}
 	for _, f := range after {
 		f()
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"reflect"
 	"slices"
 	"strconv"
 	"strings"
@@ -23,6 +24,7 @@
 	"arrowhitch/internal/backend"
 	"arrowhitch/internal/capture"
 	"arrowhitch/internal/config"
+	"arrowhitch/internal/fleet"
 	"arrowhitch/internal/limit"
 	"arrowhitch/internal/node"
 	"arrowhitch/internal/route"
@@ -42,10 +44,15 @@
 	ids      atomic.Uint64
 	routes   atomic.Pointer[routing]
 	recorder atomic.Pointer[capture.Recorder] // nil: no recording is under way
+	fleet    *fleet.Fleet                     // nil: this process knows of no other one
+	shared   atomic.Pointer[shared]           // what the subscription's duty and its pushes go to; nil: none
 	life     context.Context
 	end      context.CancelFunc
 	work     sync.WaitGroup
 
+	told        *config.File // by tellFleet, which alone has both
+	toldVersion string
+
 	mu        sync.Mutex // all below; news of sources and new configurations are taken one after the other
 	file      *config.File
 	reloaded  time.Duration // when the configuration in use was taken over
@@ -99,13 +106,20 @@
 	g.life, g.end = context.WithCancel(context.Background())
 	g.front = node.NewFront(node.FrontOptions{Budget: g.budget, BodyBytes: int64(f.Limits.Memory), LongestBody: int64(f.Limits.Body), Router: g, WholeWaits: true, ShedHeads: true})
 	g.routes.Store(&routing{file: &route.Table{}, clusters: map[string]*cluster{}})
-	g.mu.Lock()
-	err := g.take(f, true)
-	g.mu.Unlock()
+	err := g.joinFleet(f)
+	if err == nil {
+		g.mu.Lock()
+		err = g.take(f, true)
+		g.mu.Unlock()
+	}
 	if err != nil {
 		g.Close()
 		return nil, err
 	}
+	if g.fleet != nil {
+		g.fleet.Start()
+		g.work.Go(g.tellFleet)
+	}
 	return g, nil
 }
 
@@ -193,6 +207,9 @@
 		old.Limits.Requests != f.Limits.Requests || old.Limits.Body != f.Limits.Body) {
 		g.log.Warn("the limits of the whole process change with the next start")
 	}
+	if old := g.file; old != nil && !reflect.DeepEqual(old.Fleet, f.Fleet) {
+		g.log.Warn("fleet changes with the next start")
+	}
 	g.file, g.reloaded, g.refused = f, g.Now(), ""
 	g.limits = rateLimits(f, g.limits)
 	g.swap(feeds, after)
@@ -460,6 +477,9 @@
 		l = append(l, x)
 	}
 	g.mu.Unlock()
+	if g.fleet != nil {
+		g.work.Go(g.fleet.Drain)
+	}
 	g.front.Stop(ctx, l...)
 }
 
@@ -498,6 +518,9 @@
 	}
 	g.front.Shut()
 	g.work.Wait()
+	if g.fleet != nil {
+		g.fleet.Stop(leaveFleet)
+	}
 }
 
 func nodeOf(f *config.File) *corev3.Node {
--- /dev/null
+++ b/internal/gateway/share.go
@@ -0,0 +1,452 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	discoveryv3 "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
+	"google.golang.org/protobuf/proto"
+
+	"arrowhitch/internal/config"
+	"arrowhitch/internal/duty"
+	"arrowhitch/internal/fleet"
+	"arrowhitch/internal/members"
+	"arrowhitch/internal/peer"
+	"arrowhitch/internal/share"
+	"arrowhitch/internal/xds"
+)
+
+const (
+	sharePath = "/fleet/v1/xds"
+	// mostShare bounds one push.
+	mostShare = 64 << 20
+	// mostPushes are on their way at once.
+	mostPushes = 64
+	// mostChanged names are kept as changed; where there are more, the whole is sent.
+	mostChanged = 10_000
+)
+
+// shared is a source that lives on the site's one subscription, and on one of its own where there is none.
+type shared struct {
+	*xds.Client
+	sink  xds.Sink
+	fleet *fleet.Fleet
+	conf  *config.Subscription
+	log   *slog.Logger
+	turn  chan struct{} // the mode or what is in use has changed
+	take  sync.Mutex    // one push at a time
+
+	mu      sync.Mutex
+	s       *share.Share
+	holder  string // who pushed last
+	seq     uint64
+	changed map[named]uint64 // under which number each name changed last
+	floor   uint64           // changes up to here are not told one by one any more
+}
+
+type named struct {
+	Type xds.Type
+	Name string
+}
+
+func newShared(f *fleet.Fleet, opt xds.ClientOptions, log *slog.Logger, sink xds.Sink) *shared {
+	c := f.Conf().Subscription
+	s := &shared{sink: sink, fleet: f, conf: c, log: log, turn: make(chan struct{}, 1), seq: 1, changed: map[named]uint64{}, floor: 1}
+	s.s = share.New(fleet.Clock(), share.Options{OwnAfter: c.OwnAfter.D(), Spread: c.Spread.D(), Chance: rand.Float64()})
+	opt.Keep = true
+	s.Client = xds.NewClient(opt, s)
+	s.Pause(true)
+	return s
+}
+
+// Changed takes what the client learnt, from a stream or from another gateway.
+func (s *shared) Changed(changes []xds.Change) {
+	s.sink.Changed(changes)
+	s.mu.Lock()
+	s.seq++
+	for _, c := range changes {
+		s.changed[named{c.Type, c.Name}] = s.seq
+	}
+	if len(s.changed) > mostChanged {
+		clear(s.changed)
+		s.floor = s.seq
+	}
+	s.mu.Unlock()
+	s.poke()
+}
+
+func (s *shared) poke() {
+	select {
+	case s.turn <- struct{}{}:
+	default:
+	}
+}
+
+// Run follows a holder, or the control plane, until ctx ends.
+func (s *shared) Run(ctx context.Context) {
+	var work sync.WaitGroup
+	defer work.Wait()
+	work.Go(func() { s.Client.Run(ctx) })
+	tick := time.NewTicker(s.conf.Heartbeat.D() / 2)
+	defer tick.Stop()
+	for {
+		s.look()
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+// look takes what time has done.
+func (s *shared) look() {
+	missing := false
+	s.Look(func(m *xds.Machine, _ time.Duration) { missing = m.Missing() })
+	s.mu.Lock()
+	before, _ := s.s.Mode()
+	s.s.Missing(fleet.Clock(), missing)
+	s.s.Tick(fleet.Clock())
+	s.mu.Unlock()
+	s.turned(before)
+}
+
+// turned has the client keep a stream or not, as the mode is now.
+func (s *shared) turned(before share.Mode) {
+	s.mu.Lock()
+	mode, _ := s.s.Mode()
+	s.Pause(!s.s.Stream())
+	token, seq, _, _ := s.s.Last(0)
+	s.mu.Unlock()
+	if mode != before {
+		s.log.Info("subscription", "from", string(before), "to", string(mode), "token", token, "number", seq)
+	}
+}
+
+// sharePush is what a holder sends.
+type sharePush struct {
+	share.Push
+	Holder string     `json:"holder"`
+	Types  []pushType `json:"types,omitempty"`
+}
+
+type pushType struct {
+	Type      xds.Type `json:"type"`
+	Version   string   `json:"version,omitempty"`
+	Resources [][]byte `json:"resources,omitempty"` // envoy.service.discovery.v3.Resource
+	Removed   []string `json:"removed,omitempty"`
+}
+
+type pushed struct {
+	Verdict share.Verdict `json:"verdict"`
+	Highest uint64        `json:"highest"`
+}
+
+// bundle reads what came.
+func (p *sharePush) bundle() (*xds.Bundle, error) {
+	b := &xds.Bundle{Resources: map[xds.Type][]*discoveryv3.Resource{}, Removed: map[xds.Type][]string{}, Versions: map[xds.Type]string{}, Whole: p.Whole}
+	for _, t := range p.Types {
+		for i, raw := range t.Resources {
+			var r discoveryv3.Resource
+			if err := proto.Unmarshal(raw, &r); err != nil {
+				return nil, fmt.Errorf("%s %d: %w", t.Type.Short(), i, err)
+			}
+			b.Resources[t.Type] = append(b.Resources[t.Type], &r)
+		}
+		b.Removed[t.Type], b.Versions[t.Type] = t.Removed, t.Version
+	}
+	return b, nil
+}
+
+// receive takes a push.
+func (s *shared) receive(body []byte) (any, error) {
+	var p sharePush
+	d := json.NewDecoder(bytes.NewReader(body))
+	if err := d.Decode(&p); err != nil {
+		return nil, &peer.Failure{Status: http.StatusBadRequest, Err: err}
+	}
+	b, err := p.bundle()
+	if err != nil {
+		return nil, &peer.Failure{Status: http.StatusBadRequest, Err: err}
+	}
+	s.take.Lock()
+	defer s.take.Unlock()
+	var digest uint64
+	open, covered := false, false
+	s.Look(func(m *xds.Machine, _ time.Duration) {
+		digest, open = m.Digest(), m.Open()
+		covered = p.Whole && m.CoveredBy(b)
+	})
+	s.mu.Lock()
+	before, _ := s.s.Mode()
+	var v share.Verdict
+	if open && !s.s.Stream() { // its own stream is about to close
+		v = share.Need
+	} else if v = s.s.Push(fleet.Clock(), p.Push, digest); v == share.Compare {
+		if v = share.Alone; covered && s.s.Agreed(fleet.Clock(), p.Push) {
+			v = share.Same
+		}
+	}
+	if v != share.Refuse {
+		s.holder = p.Holder
+	}
+	highest := s.s.Highest()
+	s.mu.Unlock()
+	s.turned(before)
+	if v == share.Take {
+		if err := s.Import(b); err != nil {
+			s.log.Warn("what the holder of the subscription accepted is not taken as a whole", "holder", p.Holder, "err", err)
+		}
+	}
+	return pushed{v, highest}, nil
+}
+
+// hold is the duty: it follows the control plane and hands what it accepts to the others.
+func (s *shared) hold(ctx context.Context, h *duty.Hold, current func() bool) {
+	token, _, ok := h.Token()
+	if !ok {
+		return
+	}
+	s.mu.Lock()
+	before, _ := s.s.Mode()
+	s.s.Hold(fleet.Clock(), token)
+	s.mu.Unlock()
+	s.turned(before)
+	out := &pushing{s: s, h: h, acked: map[string]acked{}, room: make(chan struct{}, mostPushes)}
+	defer func() {
+		out.work.Wait()
+		s.mu.Lock()
+		s.s.Drop(fleet.Clock())
+		s.mu.Unlock()
+		s.turned(share.Holding)
+	}()
+	tick := time.NewTicker(s.conf.Heartbeat.D())
+	defer tick.Stop()
+	lost := fleet.Clock() // since when there is no stream
+	for current() {
+		now := fleet.Clock()
+		link := s.Link()
+		if link.Server != "" {
+			lost = now
+		} else if now-lost > s.conf.OwnAfter.D() && out.others() > 0 {
+			s.log.Warn("the subscription is given to another gateway: this one does not reach the control plane", "err", link.Error)
+			return
+		}
+		if !out.ready && link.Server != "" {
+			s.Look(func(m *xds.Machine, now time.Duration) {
+				// A control plane that has nothing new since the version it is told says nothing.
+				out.ready = m.Answered() || m.Open() && now-link.Since > s.conf.Heartbeat.D()
+			})
+		}
+		out.round(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		case <-s.turn:
+		}
+	}
+}
+
+// pushing is a holder's work.
+type pushing struct {
+	s     *shared
+	h     *duty.Hold
+	ready bool // what is in use here is the control plane's word on this stream
+	room  chan struct{}
+	work  sync.WaitGroup
+
+	mu    sync.Mutex
+	acked map[string]acked
+	whole *sharePush // the last one made, and its number
+}
+
+type acked struct {
+	birth, seq uint64
+	busy       bool
+	again      bool // there was news while one was on its way
+}
+
+func (p *pushing) targets() (l []members.Member) {
+	v := p.s.fleet.Members()
+	self := v.Self()
+	for _, m := range v.Members() {
+		if m.Site == self.Site && m.Name != self.Name && m.State != members.Dead && m.State != members.Gone && m.State != members.Witness {
+			l = append(l, m)
+		}
+	}
+	return l
+}
+
+func (p *pushing) others() int { return len(p.targets()) }
+
+// round sends each gateway of the site what it lacks, or a sign of life.
+func (p *pushing) round(ctx context.Context) {
+	for _, m := range p.targets() {
+		p.mu.Lock()
+		a := p.acked[m.Name]
+		if a.birth != m.Birth {
+			a = acked{birth: m.Birth, busy: a.busy}
+		}
+		a.again = a.busy
+		start := !a.busy
+		a.busy = true
+		p.acked[m.Name] = a
+		p.mu.Unlock()
+		if !start {
+			continue
+		}
+		select {
+		case p.room <- struct{}{}:
+		case <-ctx.Done():
+			return
+		}
+		p.work.Go(func() {
+			defer func() { <-p.room }()
+			for p.send(ctx, m) {
+			}
+		})
+	}
+}
+
+// send sends once, and tells whether to send again at once.
+func (p *pushing) send(ctx context.Context, m members.Member) (again bool) {
+	p.mu.Lock()
+	a := p.acked[m.Name]
+	a.again = false
+	p.acked[m.Name] = a
+	p.mu.Unlock()
+	body, ok := p.make(a.seq)
+	var r pushed
+	var err error
+	if ok {
+		one, cancel := context.WithTimeout(ctx, max(p.s.conf.Heartbeat.D(), time.Second))
+		err = p.s.fleet.Node().Call(one, m.Address, sharePath, body, &r)
+		cancel()
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	a = p.acked[m.Name]
+	a.busy = false
+	switch {
+	case !ok, err != nil: // with the next round
+	case r.Verdict == share.Refuse:
+		p.s.log.Warn("a gateway refused the subscription's news: another one holds it", "gateway", m.Name, "token", body.Token, "highest", r.Highest)
+	case r.Verdict == share.Need:
+		again = !body.Whole && p.ready
+		a.seq = 0
+	default:
+		a.seq = body.Seq
+		again = a.again
+	}
+	a.busy = again
+	p.acked[m.Name] = a
+	return again
+}
+
+// make gives what one who has everything up to a number lacks; 0: the whole. false: the lease is over.
+func (p *pushing) make(have uint64) (*sharePush, bool) {
+	token, _, ok := p.h.Token()
+	if !ok {
+		return nil, false
+	}
+	s := p.s
+	link := s.Link()
+	out := &sharePush{Holder: s.fleet.Conf().Member, Push: share.Push{Token: token, Connected: link.Server != ""}}
+	if !p.ready {
+		return out, true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s.Look(func(m *xds.Machine, now time.Duration) {
+		s.mu.Lock()
+		seq, floor := s.seq, s.floor
+		s.mu.Unlock()
+		out.Seq, out.Digest = seq, m.Digest()
+		if link.Heard > 0 {
+			out.Age = now - link.Heard
+		}
+		if have < floor || have == 0 {
+			if p.whole == nil || p.whole.Seq != seq {
+				p.whole = &sharePush{Types: wire(m.Export(now))}
+				p.whole.Seq = seq
+			}
+			out.Whole, out.Types = true, p.whole.Types
+			return
+		}
+		out.Base = have
+		if have == seq {
+			return
+		}
+		b := m.Export(now)
+		news := &xds.Bundle{Resources: map[xds.Type][]*discoveryv3.Resource{}, Removed: map[xds.Type][]string{}, Versions: b.Versions}
+		there := map[named]bool{}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for t, l := range b.Resources {
+			for _, r := range l {
+				k := named{t, r.GetName()}
+				there[k] = true
+				if s.changed[k] > have {
+					news.Resources[t] = append(news.Resources[t], r)
+				}
+			}
+		}
+		for k, at := range s.changed {
+			if at > have && !there[k] {
+				news.Removed[k.Type] = append(news.Removed[k.Type], k.Name)
+			}
+		}
+		out.Types = wire(news)
+	})
+	return out, true
+}
+
+func wire(b *xds.Bundle) (l []pushType) {
+	for _, t := range []xds.Type{xds.ClusterType, xds.EndpointType, xds.ListenerType, xds.RouteType} {
+		version, known := b.Versions[t]
+		if !known {
+			continue
+		}
+		p := pushType{Type: t, Version: version, Removed: b.Removed[t]}
+		for _, r := range b.Resources[t] {
+			if raw, err := proto.Marshal(r); err == nil { // it was read from the same form
+				p.Resources = append(p.Resources, raw)
+			}
+		}
+		l = append(l, p)
+	}
+	return l
+}
+
+// Subscription is how a gateway lives on the site's one subscription.
+type Subscription struct {
+	Mode   share.Mode `json:"mode"`
+	Since  float64    `json:"seconds"`
+	Holder string     `json:"holder,omitempty"` // whose word was taken last
+	Token  uint64     `json:"token,omitempty"`
+	Number uint64     `json:"number,omitempty"`
+	Heard  float64    `json:"heard_seconds"`         // ago
+	Age    float64    `json:"control_plane_seconds"` // of the control plane's word when the holder spoke last
+	Stale  string     `json:"stale,omitempty"`
+}
+
+func (s *shared) status() *Subscription {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := fleet.Clock()
+	mode, since := s.s.Mode()
+	token, seq, heard, age := s.s.Last(now)
+	v := &Subscription{Mode: mode, Since: (now - since).Seconds(), Holder: s.holder, Token: token, Number: seq, Heard: heard.Seconds(), Age: age.Seconds()}
+	if !s.s.Stream() && heard > 2*s.conf.Heartbeat.D() {
+		v.Stale = fmt.Sprintf("no word of a holder for %v; what it said last is in use", heard.Round(100*time.Millisecond))
+	}
+	return v
+}
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"arrowhitch/internal/fleet"
 	"arrowhitch/internal/membership"
 	"arrowhitch/internal/node"
 	"arrowhitch/logic"
@@ -24,6 +25,9 @@
 	Limits    LimitsStatus      `json:"limits"`
 
 	RateLimits []RateLimitStatus `json:"rate_limits,omitempty"`
+
+	Fleet        *fleet.Status `json:"fleet,omitempty"`
+	Subscription *Subscription `json:"subscription,omitempty"`
 }
 
 // ConfigStatus is about the file.
@@ -156,6 +160,14 @@
 // status gives all but the endpoints, and the listing of each cluster's.
 func (g *Gateway) status() (Status, []membership.Listing) {
 	ready := g.Ready()
+	var fl *fleet.Status
+	if g.fleet != nil {
+		fl = new(g.fleet.Status())
+	}
+	var sub *Subscription
+	if s := g.shared.Load(); s != nil {
+		sub = s.status()
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.Now()
@@ -166,7 +178,7 @@
 		}
 		return new(age(at))
 	}
-	s := Status{Ready: ready, Stopping: g.stopping, Uptime: time.Since(g.boot).Seconds(), Listeners: map[string]string{},
+	s := Status{Ready: ready, Fleet: fl, Subscription: sub, Stopping: g.stopping, Uptime: time.Since(g.boot).Seconds(), Listeners: map[string]string{},
 		Config: ConfigStatus{Path: g.file.Path(), Age: age(g.reloaded), Refused: g.refused}}
 	if g.refused != "" {
 		s.Config.RefusedAge = age(g.refusedAt)
