--- a/internal/lab/child.go
+++ b/internal/lab/child.go
@@ -1,36 +1,25 @@
 package lab
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync"
-	"sync/atomic"
-	"syscall"
 	"time"
+
+	"arrowhitch/internal/standin/proc"
 )
 
 // child is a gateway: the real program as a process of its own.
 type child struct {
+	*proc.Process
 	number int
 	zone   string
-	cmd    *exec.Cmd
-	stdin  io.Closer
 	web    string // its listeners' addresses
 	admin  string
-	exited chan struct{} // closed when it has ended
-	killed atomic.Bool   // on purpose
-
-	mu   sync.Mutex
-	err  error    // how it ended
-	last []string // lines of its log
 }
 
 // gatewayFile is what gateway i of an experiment is configured by.
@@ -71,47 +60,13 @@
 	if err := os.WriteFile(path, []byte(e.gatewayFile(i, plane)), 0o600); err != nil {
 		return nil, fmt.Errorf("gateway %d: %w", i, err)
 	}
-	c := &child{number: i, zone: e.Fleet.Zones[i%len(e.Fleet.Zones)], exited: make(chan struct{}), cmd: exec.Command(binary, "serve", "--with-parent", "-c", path)}
-	// A group of its own, so that an interrupt on the terminal is for the laboratory to pass on.
-	c.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
-	logs, err := c.cmd.StderrPipe()
-	if err != nil {
-		return nil, fmt.Errorf("gateway %d: %w", i, err)
-	}
-	// It ends when this end of its standard input is closed, also where this process is killed.
-	if c.stdin, err = c.cmd.StdinPipe(); err != nil {
-		return nil, fmt.Errorf("gateway %d: %w", i, err)
-	}
-	if err := c.cmd.Start(); err != nil {
-		return nil, fmt.Errorf("gateway %d: %w", i, err)
-	}
+	c := &child{number: i, zone: e.Fleet.Zones[i%len(e.Fleet.Zones)]}
 	addresses := make(chan struct{})
-	go c.follow(logs, addresses)
-	select {
-	case <-addresses:
-	case <-c.exited:
-		return nil, c.died()
-	case <-ctx.Done():
-		c.stop()
-		return nil, ctx.Err()
-	}
-	return c, c.await(ctx)
-}
-
-// follow reads the log until the process ends, and notes the addresses that it listens on.
-func (c *child) follow(logs io.Reader, addresses chan<- struct{}) {
-	lines := bufio.NewScanner(logs)
-	lines.Buffer(nil, 1<<20)
-	for lines.Scan() {
+	p, err := proc.Start(fmt.Sprintf("gateway %d", i), binary, func(text string) {
 		var l struct {
 			Msg, Address string
 		}
-		_ = json.Unmarshal(lines.Bytes(), &l) // other lines are for people
-		c.mu.Lock()
-		if c.last = append(c.last, lines.Text()); len(c.last) > 5 {
-			c.last = c.last[1:]
-		}
-		c.mu.Unlock()
+		_ = json.Unmarshal([]byte(text), &l) // other lines are for people
 		switch l.Msg {
 		case "listening":
 			c.web = l.Address
@@ -119,20 +74,20 @@
 			c.admin = l.Address
 			close(addresses)
 		}
+	}, "serve", "--with-parent", "-c", path)
+	if err != nil {
+		return nil, err
 	}
-	_, _ = io.Copy(io.Discard, logs) // a line too long must not hold it up
-	err := c.cmd.Wait()
-	c.mu.Lock()
-	c.err = err
-	c.mu.Unlock()
-	close(c.exited)
-}
-
-// died says how it ended by itself.
-func (c *child) died() error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return fmt.Errorf("gateway %d ended by itself: %v; its last words:\n%s", c.number, c.err, strings.Join(c.last, "\n"))
+	c.Process = p
+	select {
+	case <-addresses:
+	case <-c.Exited:
+		return nil, c.Died()
+	case <-ctx.Done():
+		c.stop()
+		return nil, ctx.Err()
+	}
+	return c, c.await(ctx)
 }
 
 // await waits until it is ready.
@@ -152,8 +107,8 @@
 			}
 		}
 		select {
-		case <-c.exited:
-			return c.died()
+		case <-c.Exited:
+			return c.Died()
 		case <-ctx.Done():
 			c.stop()
 			return fmt.Errorf("gateway %d is not ready: %w", c.number, ctx.Err())
@@ -162,22 +117,5 @@
 	}
 }
 
-// kill ends it at once, with all that it has in hand.
-func (c *child) kill() {
-	c.killed.Store(true)
-	_ = c.cmd.Process.Kill() // it may have ended
-	<-c.exited
-	_ = c.stdin.Close()
-}
-
 // stop ends it: by its drain, or, where that takes too long, at once.
-func (c *child) stop() {
-	_ = c.cmd.Process.Signal(syscall.SIGTERM) // it may have ended
-	select {
-	case <-c.exited:
-	case <-time.After(5 * time.Second):
-		_ = c.cmd.Process.Kill()
-		<-c.exited
-	}
-	_ = c.stdin.Close()
-}
+func (c *child) stop() { c.Stop(5 * time.Second) }
--- a/internal/lab/live_test.go
+++ b/internal/lab/live_test.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -133,7 +134,7 @@
 func TestRunsThatEndEarly(t *testing.T) {
 	const text = "name: early\nlength: 60s\ngateways: {number: 2}\nload: {rate: 100}\n"
 	for want, how := range map[string]func(*playing, context.CancelFunc){
-		"gateway 1 ended by itself": func(p *playing, _ context.CancelFunc) { _ = p.gates[1].cmd.Process.Kill() },
+		"gateway 1 ended by itself": func(p *playing, _ context.CancelFunc) { p.gates[1].Signal(syscall.SIGKILL) },
 		"context canceled":          func(_ *playing, cancel context.CancelFunc) { cancel() },
 	} {
 		t.Run(want, func(t *testing.T) {
@@ -150,7 +151,7 @@
 			}
 			for _, c := range play.gates {
 				select {
-				case <-c.exited:
+				case <-c.Exited:
 				default:
 					t.Errorf("gateway %d still runs", c.number)
 				}
--- a/internal/lab/loopback.go
+++ b/internal/lab/loopback.go
@@ -275,9 +275,9 @@
 	watch := func(c *child) {
 		p.work.Go(func() {
 			select {
-			case <-c.exited:
-				if !c.killed.Load() {
-					cancel(c.died())
+			case <-c.Exited:
+				if !c.Killed() {
+					cancel(c.Died())
 				}
 			case <-ctx.Done():
 			}
@@ -414,7 +414,7 @@
 		r.Header.Set("Idempotency-Key", id)
 	}
 	broken := func() (outcome, time.Duration) {
-		if gate.killed.Load() { // with what it had in hand
+		if gate.Killed() { // with what it had in hand
 			return failed, 0
 		}
 		return lost, 0
@@ -468,8 +468,7 @@
 	var all sync.WaitGroup
 	for _, c := range old {
 		if c != nil {
-			c.killed.Store(true)
-			all.Go(c.kill)
+			all.Go(c.Kill)
 		}
 	}
 	all.Wait()
--- /dev/null
+++ b/internal/members/members_test.go
@@ -0,0 +1,97 @@
+package members
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// Whatever is told of members, in any order: births never go back, an earlier process's news never ends a later one, a dead
+// one is gone after its time, and each event begins where the one before it ended.
+func TestRoster(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const forget = 10 * time.Second
+		r, now := newRoster(forget), time.Duration(0)
+		states, births := map[string]State{}, map[string]uint64{}
+		take := func(events []Event) {
+			for _, e := range events {
+				m := e.Member
+				if e.From != states[m.Name] {
+					t.Fatalf("%v, but it was %q", e, states[m.Name])
+				}
+				if m.Birth < births[m.Name] || e.Restarted != (e.From != "" && m.Birth > births[m.Name]) {
+					t.Fatalf("%v, its birth was %d", e, births[m.Name])
+				}
+				states[m.Name], births[m.Name] = m.State, m.Birth
+				if m.State == Gone {
+					delete(states, m.Name)
+					delete(births, m.Name)
+				}
+			}
+		}
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 4000).Draw(t, "ms")) * time.Millisecond
+			name := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "name")
+			birth := rapid.Uint64Range(1, 4).Draw(t, "birth")
+			before, born := states[name], births[name]
+			switch rapid.IntRange(0, 4).Draw(t, "event") {
+			case 0:
+				take(r.alive(now, Member{Name: name, Birth: birth, State: rapid.SampledFrom([]State{Joining, Serving, Draining, Leaving}).Draw(t, "state")}))
+				if birth < born && states[name] != before {
+					t.Fatalf("an earlier birth made it %s", states[name])
+				}
+			case 1:
+				take(r.suspect(now, name))
+			case 2:
+				take(r.cleared(now, name))
+				if before != Suspect && states[name] != before {
+					t.Fatalf("%s -> %s by an answer", before, states[name])
+				}
+			case 3:
+				take(r.ended(now, name, birth, rapid.Bool().Draw(t, "left")))
+				if birth < born && states[name] != before {
+					t.Fatalf("an earlier birth's end made it %s", states[name])
+				}
+			default:
+				take(r.tick(now))
+			}
+			for _, m := range r.list() {
+				if m.State != states[m.Name] || m.Birth != births[m.Name] {
+					t.Fatalf("listed as %+v, events say %s", m, states[m.Name])
+				}
+			}
+		}
+		now += forget
+		if r.tick(now); len(r.list()) > 0 {
+			for _, m := range r.list() {
+				if m.State == Dead {
+					t.Fatalf("%s is dead for %v and still listed", m.Name, now-m.Since)
+				}
+			}
+		}
+	})
+}
+
+// What another process says of itself is taken as it was meant or refused.
+func FuzzMeta(f *testing.F) {
+	b, err := Member{Name: "a", Site: "s", Zone: "z", Program: "v1", Config: "c", Birth: 7, State: Serving}.meta()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add("a", b)
+	f.Add("", []byte("{}"))
+	f.Fuzz(func(t *testing.T, name string, text []byte) {
+		m, err := readMeta(name, "127.0.0.1:1", text)
+		if err != nil {
+			return
+		}
+		again, err := m.meta()
+		if err != nil {
+			return // longer than it was, by escapes
+		}
+		if o, err := readMeta(name, "127.0.0.1:1", again); err != nil || o != m {
+			t.Errorf("%+v came back as %+v, %v", m, o, err)
+		}
+	})
+}
--- a/internal/quorum/client.go
+++ b/internal/quorum/client.go
@@ -45,22 +45,15 @@
 			to = c.voters[next%len(c.voters)].Address
 			next++
 		}
-		var rep reply
 		sent = c.now()
-		one, cancel := context.WithTimeout(ctx, c.attempt)
-		err := c.node.Call(one, to, "/fleet/v1/quorum", cmd, &rep)
-		cancel()
-		switch {
-		case err == nil && rep.Done:
+		r, leader, done, err := Once(ctx, c.node, to, c.attempt, cmd)
+		if done {
 			c.heard(to, nil)
-			return rep.Result, sent, nil
-		case err == nil && rep.Leader != "" && rep.Leader != to:
-			to, last = rep.Leader, fmt.Errorf("%s: %s", to, rep.Why)
+			return r, sent, nil
+		}
+		if last = err; leader != "" && leader != to {
+			to = leader
 			continue
-		case err == nil:
-			last = fmt.Errorf("%s: %s", to, rep.Why)
-		default:
-			last = err
 		}
 		to = ""
 		if ctx.Err() != nil {
@@ -73,6 +66,21 @@
 	return Result{}, 0, err
 }
 
+// Once asks one voter once. done: the command was agreed on. Where it was not, an error does not tell whether it still will be,
+// and leader, if not empty, is whom to ask instead.
+func Once(ctx context.Context, n *peer.Node, to string, within time.Duration, cmd Command) (r Result, leader string, done bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	var rep reply
+	if err := n.Call(ctx, to, "/fleet/v1/quorum", cmd, &rep); err != nil {
+		return r, "", false, err
+	}
+	if rep.Done {
+		return rep.Result, "", true, nil
+	}
+	return r, rep.Leader, false, fmt.Errorf("%s: %s", to, rep.Why)
+}
+
 func (c *Client) heard(leader string, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/quorum/quorum.go
+++ b/internal/quorum/quorum.go
@@ -53,17 +53,18 @@
 
 // Server is one voter. Its methods may be called by several goroutines at once.
 type Server struct {
-	opt   Options
-	node  *peer.Node
-	state *state
-	boot  time.Time
-	raft  *raft.Raft
-	trans *raft.NetworkTransport
-	layer *layer
-	guard *guard
-	lead  chan bool
-	end   context.CancelFunc
-	work  sync.WaitGroup
+	opt    Options
+	node   *peer.Node
+	state  *state
+	boot   time.Time
+	raft   *raft.Raft
+	trans  *raft.NetworkTransport
+	layer  *layer
+	guard  *guard
+	lead   chan bool
+	opened chan struct{} // closed when Open has ended
+	end    context.CancelFunc
+	work   sync.WaitGroup
 
 	mu      sync.Mutex
 	id      identity    // as on disk
@@ -100,7 +101,8 @@
 	if opt.Disk == nil {
 		opt.Disk = plainDisk{path, opt.MostBytes}
 	}
-	s := &Server{opt: opt, node: n, state: newState(), boot: time.Now(), lead: make(chan bool, 16)}
+	s := &Server{opt: opt, node: n, state: newState(), boot: time.Now(), lead: make(chan bool, 16), opened: make(chan struct{})}
+	defer close(s.opened)
 	var err error
 	if s.id, err = openFolder(opt.Dir, opt.Name, opt.Name+"."+random()); err != nil {
 		return nil, fmt.Errorf("voter %q, %s: %w", opt.Name, opt.Dir, err)
@@ -148,7 +150,17 @@
 	} else if !some { // nothing was ever promised in it
 		s.id.Fleet = ""
 	}
-	if s.raft, err = raft.NewRaft(c, s.state, s.guard, s.guard, snaps, s.trans); err != nil {
+	// On a goroutine of its own, which a write that fails may end.
+	made := make(chan struct{})
+	go func() {
+		defer close(made)
+		s.raft, err = raft.NewRaft(c, s.state, s.guard, s.guard, snaps, s.trans)
+	}()
+	<-made
+	if f := s.guard.failed.Load(); f != nil && err == nil {
+		err = f.err
+	}
+	if err != nil {
 		return errors.Join(err, s.trans.Close())
 	}
 	return nil
@@ -196,7 +208,11 @@
 	if f.lost {
 		_ = replace(filepath.Join(s.opt.Dir, failedFile), []byte(f.err.Error()+"\n")) // the disk may be gone
 	}
-	go s.stop(fmt.Sprintf("its store cannot be trusted any more: %v", f.err)) // not here: the library's goroutine waits for this one
+	go func() { // not here: the library's goroutine waits for this one
+		if <-s.opened; s.raft != nil { // else Open tells of it
+			s.stop(fmt.Sprintf("its store cannot be trusted any more: %v", f.err))
+		}
+	}()
 }
 
 // stop ends the voting of this process for good; all else of it goes on.
@@ -389,6 +405,9 @@
 	return r, nil
 }
 
+// NotLeader is why a voter does nothing about a command.
+const NotLeader = "not the leader"
+
 // reply is what a voter answers to a command.
 type reply struct {
 	Result
@@ -417,7 +436,7 @@
 		return nil, &peer.Failure{Status: http.StatusBadRequest, Err: fmt.Errorf("no such command: %q", c.Op)}
 	}
 	if !s.leading.Load() {
-		return s.elsewhere("not the leader"), nil
+		return s.elsewhere(NotLeader), nil
 	}
 	r, err := s.propose(c)
 	if err != nil {
--- /dev/null
+++ b/internal/standin/cluster/cluster.go
@@ -0,0 +1,437 @@
+package cluster
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"arrowhitch/internal/fleet"
+	"arrowhitch/internal/gateway"
+	"arrowhitch/internal/quorum"
+	"arrowhitch/internal/standin/proc"
+)
+
+// Options are what a cluster is made of.
+type Options struct {
+	Binary string // robindrum
+	Dir    string // for folders and files
+	Name   string // of the fleet
+	Nodes  int    // processes
+	Voters int    // the first ones; 0: as many as there can be, up to 5
+	// Witness has the last voter be a witness.
+	Witness bool
+	Sites   []string // of the nodes, in turn
+	Lease   time.Duration
+	Beat    time.Duration // the voters' heartbeat
+	Probe   time.Duration
+	// Posts are duties by name, each to an end outside.
+	Posts map[string]*End
+	Every time.Duration // between two posts
+	// XDS is the control plane, an end outside; nil: a static cluster.
+	XDS *End
+	// Fleet and File are more lines of the block `fleet:` and of the file; nil: none.
+	Fleet, File func(i int) string
+	// Binaries are other programs than Binary, by node: an earlier version.
+	Binaries map[int]string
+	// NoFleet leaves the block out.
+	NoFleet bool
+	MostLog string // most_bytes of the voters' logs
+	Seed    uint64
+	Lines   func(node int, line string) // of the logs; nil: nobody looks
+}
+
+// End is something outside of the fleet that its members reach: each over a relay of its own.
+type End struct {
+	Name  string
+	Addr  string
+	Plain bool // reached without a relay
+}
+
+// Node is one process and its place.
+type Node struct {
+	Number          int
+	Name, Address   string
+	Admin, Web, Dir string
+	Witness         bool
+	c               *Cluster
+	mu              sync.Mutex
+	p               *proc.Process
+	starts          int
+	frozen          bool
+}
+
+// Cluster is the fleet. Its methods may be called by several goroutines at once.
+type Cluster struct {
+	opt    Options
+	host   string // of all addresses, 127.x.y
+	Nodes  []*Node
+	ends   []*End
+	relays []*relay
+	paths  map[[2]string]*path // from, to
+	client *http.Client
+}
+
+// clusters of this process, each with addresses of its own.
+var clusters atomic.Uint32
+
+// New makes the places and the relays. Nothing runs before Start.
+func New(opt Options) (*Cluster, error) {
+	c := &Cluster{opt: opt, paths: map[[2]string]*path{}, client: &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 2}}}
+	c.opt.Name = cmp.Or(opt.Name, "rig")
+	c.opt.Lease, c.opt.Beat, c.opt.Probe = cmp.Or(opt.Lease, time.Second), cmp.Or(opt.Beat, 100*time.Millisecond), cmp.Or(opt.Probe, 100*time.Millisecond)
+	c.opt.Every = cmp.Or(opt.Every, 20*time.Millisecond)
+	if c.opt.Voters == 0 {
+		c.opt.Voters = map[bool]int{true: 1, false: 3}[opt.Nodes < 3]
+	}
+	// Addresses below the ports that outgoing connections take, on a part of 127/8 that is this process's.
+	n := uint32(os.Getpid())*16 + clusters.Add(1)
+	c.host = fmt.Sprintf("127.%d.%d", 16+n>>8&0x7f, n&0xff)
+	for i := range opt.Nodes {
+		node := &Node{Number: i, Name: fmt.Sprintf("n%d", i), c: c, Dir: filepath.Join(opt.Dir, fmt.Sprintf("n%d", i)), Witness: opt.Witness && i == c.opt.Voters-1}
+		ip := fmt.Sprintf("%s.%d", c.host, i+1)
+		node.Address, node.Admin, node.Web = ip+":7600", ip+":7601", ip+":7602"
+		if err := os.MkdirAll(node.Dir, 0o700); err != nil {
+			return nil, err
+		}
+		c.Nodes = append(c.Nodes, node)
+	}
+	for _, e := range opt.Posts {
+		c.ends = append(c.ends, e)
+	}
+	if opt.XDS != nil {
+		c.ends = append(c.ends, opt.XDS)
+	}
+	for _, a := range c.Nodes {
+		for _, b := range c.Nodes {
+			if a != b {
+				if err := c.relay(a.Number, a.Name, b.Name, b.Address, b.Number); err != nil {
+					c.Close()
+					return nil, err
+				}
+			}
+		}
+		for i, e := range c.ends {
+			if e.Plain {
+				continue
+			}
+			if err := c.relay(a.Number, a.Name, e.Name, e.Addr, 200+i); err != nil {
+				c.Close()
+				return nil, err
+			}
+		}
+	}
+	return c, nil
+}
+
+func (c *Cluster) via(from, to int) string { return fmt.Sprintf("%s.%d:%d", c.host, from+1, 8000+to) }
+
+func (c *Cluster) relay(number int, from, to, addr string, at int) error {
+	r, err := newRelay(c.via(number, at), addr, c.path(from, to), c.path(to, from))
+	if err == nil {
+		c.relays = append(c.relays, r)
+	}
+	return err
+}
+
+func (c *Cluster) path(from, to string) *path {
+	k := [2]string{from, to}
+	if c.paths[k] == nil {
+		c.paths[k] = newPath(c.opt.Seed + uint64(len(c.paths)))
+	}
+	return c.paths[k]
+}
+
+// Set changes what is on the way from one end to another, by name: one direction.
+func (c *Cluster) Set(from, to string, w Way) {
+	if p := c.paths[[2]string{from, to}]; p != nil {
+		p.set(w)
+	}
+}
+
+// Between changes both directions.
+func (c *Cluster) Between(a, b string, w Way) {
+	c.Set(a, b, w)
+	c.Set(b, a, w)
+}
+
+// Alone cuts a node off from all other nodes; ends outside are still reached.
+func (c *Cluster) Alone(n *Node, w Way) {
+	for _, o := range c.Nodes {
+		c.Between(n.Name, o.Name, w)
+	}
+}
+
+// Heal has all ways carry all.
+func (c *Cluster) Heal() {
+	for _, p := range c.paths {
+		p.set(Way{})
+	}
+}
+
+// Ends are addresses as a node reaches them.
+func (n *Node) end(e *End) string {
+	for i, x := range n.c.ends {
+		if x == e && !e.Plain {
+			return n.c.via(n.Number, 200+i)
+		}
+	}
+	return e.Addr
+}
+
+// Voters are all voters of the fleet.
+func (c *Cluster) Voters() (l []quorum.Voter) {
+	for _, n := range c.Nodes[:c.opt.Voters] {
+		l = append(l, quorum.Voter{Name: n.Name, Address: n.Address})
+	}
+	return l
+}
+
+// file is a node's configuration.
+func (n *Node) file() string {
+	c, o := n.c, &n.c.opt
+	var b strings.Builder
+	fmt.Fprintf(&b, "log: {format: json, level: info}\nadmin: {address: %q, remote: true}\n", n.Admin)
+	if !n.Witness {
+		fmt.Fprintf(&b, "listeners: [{name: web, address: %q}]\nlimits: {drain: 2s}\ngateway: {number: %d, of: %d}\n", n.Web, n.Number, o.Nodes)
+		if o.File != nil {
+			b.WriteString(o.File(n.Number))
+		} else {
+			b.WriteString("clusters: [{name: c, endpoints: [{address: \"127.0.0.1:9\"}]}]\nroutes: [{match: {prefix: /}, cluster: c}]\n")
+		}
+		if o.XDS != nil {
+			fmt.Fprintf(&b, "xds: {servers: [%q], node: {id: %q}, clusters: true, backoff_base: 100ms, backoff_most: 1s, connect_timeout: 1s, initial_fetch_timeout: 5s}\n", n.end(o.XDS), n.Name)
+		}
+	}
+	if o.NoFleet {
+		return b.String()
+	}
+	fmt.Fprintf(&b, "fleet:\n  name: %s\n  member: %s\n  address: %q\n  remote: true\n  probe: %v\n  lease: %v\n", o.Name, n.Name, n.Address, o.Probe, o.Lease)
+	if len(o.Sites) > 0 {
+		fmt.Fprintf(&b, "  site: %s\n", o.Sites[n.Number%len(o.Sites)])
+	}
+	b.WriteString("  seeds: [")
+	for _, v := range c.Nodes[:min(3, len(c.Nodes))] {
+		fmt.Fprintf(&b, "%q, ", v.Address)
+	}
+	b.WriteString("]\n  via:\n")
+	for _, p := range c.Nodes {
+		if p != n {
+			fmt.Fprintf(&b, "    - {member: %q, at: %q}\n", p.Address, c.via(n.Number, p.Number))
+		}
+	}
+	fmt.Fprintf(&b, "  quorum:\n    heartbeat: %v\n    folder: votes\n    most_bytes: %s\n    voters:\n", o.Beat, cmp.Or(o.MostLog, "64MiB"))
+	for _, v := range c.Voters() {
+		fmt.Fprintf(&b, "      - {name: %s, address: %q}\n", v.Name, v.Address)
+	}
+	if !n.Witness && len(o.Posts) > 0 {
+		b.WriteString("  posts:\n")
+		for name, e := range o.Posts {
+			fmt.Fprintf(&b, "    - {name: %s, url: \"http://%s/\", every: %v, timeout: 30s}\n", name, n.end(e), o.Every)
+		}
+	}
+	if o.Fleet != nil && !n.Witness {
+		b.WriteString(o.Fleet(n.Number))
+	}
+	return b.String()
+}
+
+// Start starts all nodes at once.
+func (c *Cluster) Start() error {
+	errs := make([]error, len(c.Nodes))
+	var all sync.WaitGroup
+	for i, n := range c.Nodes {
+		all.Go(func() { errs[i] = n.Start() })
+	}
+	all.Wait()
+	return errors.Join(errs...)
+}
+
+// Start starts a node's process, with the folder as it is.
+func (n *Node) Start() error {
+	path := filepath.Join(n.Dir, "robindrum.yaml")
+	if err := os.WriteFile(path, []byte(n.file()), 0o600); err != nil {
+		return err
+	}
+	verb := "serve"
+	if n.Witness {
+		verb = "witness"
+	}
+	up := make(chan struct{})
+	var once sync.Once
+	binary := cmp.Or(n.c.opt.Binaries[n.Number], n.c.opt.Binary)
+	p, err := proc.Start(n.Name, binary, func(line string) {
+		if strings.Contains(line, `"listening for operators"`) {
+			once.Do(func() { close(up) })
+		}
+		if n.c.opt.Lines != nil {
+			n.c.opt.Lines(n.Number, line)
+		}
+	}, verb, "--with-parent", "-c", path)
+	if err != nil {
+		return err
+	}
+	n.mu.Lock()
+	n.p, n.frozen = p, false
+	n.starts++
+	n.mu.Unlock()
+	select {
+	case <-up:
+		return nil
+	case <-p.Exited:
+		return p.Died()
+	case <-time.After(20 * time.Second):
+		p.Kill()
+		return fmt.Errorf("%s did not come up", n.Name)
+	}
+}
+
+// Process is its process; nil: it was never started.
+func (n *Node) Process() *proc.Process {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.p
+}
+
+// Up tells whether its process runs and is not frozen.
+func (n *Node) Up() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.p != nil && n.p.Running() && !n.frozen
+}
+
+// Kill ends its process at once.
+func (n *Node) Kill() {
+	if p := n.Process(); p != nil {
+		p.Kill()
+	}
+}
+
+// Freeze stops its process in the middle of whatever it does.
+func (n *Node) Freeze() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.frozen = true
+	n.p.Freeze()
+}
+
+// Thaw has it go on.
+func (n *Node) Thaw() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.frozen = false
+	n.p.Thaw()
+}
+
+// Restart starts it again: with its folder, or with an empty one.
+func (n *Node) Restart(empty bool) error {
+	n.Kill()
+	if empty {
+		if err := os.RemoveAll(n.Votes()); err != nil {
+			return err
+		}
+	}
+	return n.Start()
+}
+
+// Votes is the folder of its vote.
+func (n *Node) Votes() string { return filepath.Join(n.Dir, "votes") }
+
+// Close ends all processes and relays.
+func (c *Cluster) Close() {
+	var all sync.WaitGroup
+	for _, n := range c.Nodes {
+		if p := n.Process(); p != nil {
+			all.Go(func() { p.Kill() })
+		}
+	}
+	all.Wait()
+	for _, r := range c.relays {
+		all.Go(r.close)
+	}
+	all.Wait()
+	c.client.CloseIdleConnections()
+}
+
+// get asks a node's admin listener.
+func (n *Node) get(path string, v any) error {
+	resp, err := n.c.client.Get("http://" + n.Admin + path)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(io.LimitReader(resp.Body, 4<<10))
+		return fmt.Errorf("%s: %s: %s", n.Name, resp.Status, text)
+	}
+	return json.NewDecoder(resp.Body).Decode(v)
+}
+
+// Fleet is what a node says of its fleet.
+func (n *Node) Fleet() (s fleet.Status, err error) { return s, n.get("/fleet", &s) }
+
+// Status is what a gateway says of itself.
+func (n *Node) Status() (s gateway.Status, err error) { return s, n.get("/status", &s) }
+
+// Leases are what the quorum says to a node.
+func (n *Node) Leases() (l quorum.Leases, err error) { return l, n.get("/fleet/leases", &l) }
+
+// Holder is the node that holds a duty by its own word; nil: none does.
+func (c *Cluster) Holder(duty string) *Node {
+	for _, n := range c.Nodes {
+		if !n.Up() {
+			continue
+		}
+		s, err := n.Fleet()
+		if err != nil {
+			continue
+		}
+		for _, d := range s.Duties {
+			if d.Name == duty && d.State == "holding" {
+				return n
+			}
+		}
+	}
+	return nil
+}
+
+// Leader is the node that leads the quorum by its own word; nil: none does.
+func (c *Cluster) Leader() *Node {
+	for _, n := range c.Nodes[:c.opt.Voters] {
+		if !n.Up() {
+			continue
+		}
+		if s, err := n.Fleet(); err == nil && s.Vote != nil && s.Vote.State == "leader" {
+			return n
+		}
+	}
+	return nil
+}
+
+// Await waits until ok, looking again and again.
+func Await(ctx context.Context, what string, within time.Duration, ok func() bool) error {
+	for end := time.Now().Add(within); ; {
+		if ok() {
+			return nil
+		}
+		if time.Now().After(end) {
+			return fmt.Errorf("within %v never came: %s", within, what)
+		}
+		if err := sleep(ctx, 10*time.Millisecond); err != nil {
+			return err
+		}
+	}
+}
+
+// Listen opens an address for an end outside.
+func Listen() (net.Listener, error) { return net.Listen("tcp", "127.0.0.1:0") }
--- /dev/null
+++ b/internal/standin/cluster/cluster_test.go
@@ -0,0 +1,505 @@
+package cluster
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"arrowhitch/internal/fakes"
+	"arrowhitch/internal/fleet"
+	"arrowhitch/internal/lease"
+	"arrowhitch/internal/members"
+	"arrowhitch/internal/quorum"
+)
+
+// folder has the built programs.
+var folder = sync.OnceValues(func() (string, error) { return os.MkdirTemp("", "robindrum-test-") })
+
+func binary(t testing.TB, tags ...string) string {
+	t.Helper()
+	dir, err := folder()
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(dir, "robindrum"+tagged(tags))
+	if _, err := os.Stat(path); err == nil {
+		return path
+	}
+	if path, err = Build(t.Context(), dir, tags...); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if dir, err := folder(); err == nil {
+		os.RemoveAll(dir)
+	}
+	os.Exit(code)
+}
+
+const testLease = 600 * time.Millisecond
+
+// up starts a cluster, and closes it with the test.
+func up(t testing.TB, opt Options) *Cluster {
+	t.Helper()
+	opt.Binary, opt.Dir = binary(t), t.TempDir()
+	if opt.Lease == 0 {
+		opt.Lease = testLease
+	}
+	c, err := New(opt)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	if err := c.Start(); err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// comes waits for something of a cluster; processes start and elect within it.
+func comes(t testing.TB, what string, ok func() bool) {
+	t.Helper()
+	if err := Await(t.Context(), what, back, ok); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (n *Node) member(name string) (m members.Member) {
+	s, _ := n.Fleet()
+	for _, m := range s.Members {
+		if m.Name == name {
+			return m
+		}
+	}
+	return m
+}
+
+func (n *Node) vote() quorum.Status {
+	if s, err := n.Fleet(); err == nil && s.Vote != nil {
+		return *s.Vote
+	}
+	return quorum.Status{}
+}
+
+// Each kind of fault once, and two seeds as they are drawn: no act is accepted out of order, nobody acts beyond its lease, what
+// clients of the quorum are told can be explained, and the fleet comes back each time.
+func TestSchedules(t *testing.T) {
+	fakes.Leaks(t)
+	var all []Schedule
+	for i := 0; i < len(Faults); i += 3 {
+		all = append(all, Schedule{Seed: uint64(100 + i), Nodes: 3 + i%3, Faults: Faults[i : i+3]})
+	}
+	all = append(all, Draw(1), Draw(2))
+	opt := PlayOptions{Binary: binary(t), Dir: t.TempDir(), Lease: testLease, History: true}
+	at := make(chan struct{}, 3)
+	var work sync.WaitGroup
+	for _, s := range all {
+		work.Go(func() {
+			at <- struct{}{}
+			defer func() { <-at }()
+			if v := Play(t.Context(), s, opt); v.Broken() || v.Acts < 10 || v.Operations == 0 {
+				t.Errorf("%v: %v", s.Faults, &v)
+			}
+		})
+	}
+	work.Wait()
+}
+
+// With a safeguard off the audit finds what it is there for, each time.
+func TestAuditFindsPlantedFaults(t *testing.T) {
+	fakes.Leaks(t)
+	play := func(f Fault, binary string, open bool) (sum Finding) {
+		for seed := range uint64(3) {
+			v := Play(t.Context(), Schedule{Seed: seed, Nodes: 3, Faults: []Fault{f}}, PlayOptions{Binary: binary, Dir: t.TempDir(), Lease: testLease, Unfenced: open})
+			if v.Err != nil {
+				t.Fatal(v.Err)
+			}
+			if sum.Add(v.Finding); sum.Broken() {
+				break
+			}
+		}
+		return sum
+	}
+	if f := play(LateAct, binary(t), true); f.Disorder == 0 || f.Beyond != 0 {
+		t.Errorf("a receiver that takes every token: %+v", f)
+	}
+	if f := play(FreezeLong, binary(t, "planted"), false); f.Beyond == 0 || f.Disorder != 0 {
+		t.Errorf("a holder that goes on when its lease is over: %+v", f)
+	}
+	ms := time.Millisecond
+	got := func(m string, token uint64, call, ret time.Duration) asked {
+		return asked{op: quorum.Acquire, member: m, token: token, length: 100 * ms, call: call, ret: ret, result: "granted"}
+	}
+	for want, ops := range map[bool][]asked{
+		true:  {got("k0", 1, 0, 5*ms), got("k1", 2, 99*ms, 101*ms), {op: quorum.Release, member: "k1", token: 2, call: 102 * ms, ret: 103 * ms, result: "unknown"}, got("k0", 3, 104*ms, 105*ms)},
+		false: {got("k0", 1, 0, 5*ms), got("k1", 2, 50*ms, 99*ms)},
+	} {
+		if ok, decided := linearizable(ops, time.Minute); ok != want || !decided {
+			t.Errorf("%v: linearizable %v (decided %v)", ops, ok, decided)
+		}
+	}
+	if ok, _ := linearizable([]asked{got("k0", 2, 0, 5*ms), got("k1", 1, 150*ms, 160*ms)}, time.Minute); ok {
+		t.Error("a token that is lower than one before")
+	}
+}
+
+// copied copies a folder.
+func copied(t *testing.T, from, to string) {
+	t.Helper()
+	if err := os.RemoveAll(to); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.CopyFS(to, os.DirFS(from)); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// A voter comes back with an old copy of its folder, with another fleet's, with a log that was cut, and with none: the first
+// three do not vote, say why, and serve; the last one is taken in.
+func TestFoldersOfVoters(t *testing.T) {
+	fakes.Leaks(t)
+	c := up(t, Options{Nodes: 3})
+	comes(t, "a leader", func() bool { return c.Leader() != nil })
+	one, two := c.Nodes[1], c.Nodes[2]
+	comes(t, "three voters", func() bool { return one.vote().State == "follower" || one.vote().State == "leader" })
+	// With the other voter it is a majority, so its word would count.
+	old := filepath.Join(t.TempDir(), "old")
+	one.Kill()
+	copied(t, one.Votes(), old)
+	for range 2 { // starts that the copy knows nothing of
+		if err := one.Restart(false); err != nil {
+			t.Fatal(err)
+		}
+		comes(t, "it votes again", func() bool { s := one.vote(); return s.State == "follower" || s.State == "leader" })
+	}
+	refused := func(why string) {
+		t.Helper()
+		comes(t, "a refusal: "+why, func() bool {
+			s, err := one.Fleet()
+			return err == nil && strings.Contains(s.NoVote, why)
+		})
+		if s, err := one.Status(); err != nil || !s.Ready {
+			t.Errorf("it does not serve: ready %v, %v", s.Ready, err)
+		}
+		one.Kill()
+	}
+	one.Kill()
+	copied(t, old, one.Votes())
+	if err := one.Start(); err != nil {
+		t.Fatal(err)
+	}
+	refused("older than what the fleet knows")
+	if err := one.Start(); err != nil { // also the next time
+		t.Fatal(err)
+	}
+	refused("a write failed in it")
+
+	// Of the same voter's name, but of another fleet.
+	other := up(t, Options{Nodes: 3})
+	comes(t, "another fleet", func() bool { return other.Leader() != nil && other.Nodes[1].vote().Fleet != "" })
+	comes(t, "its agreement", func() bool { return other.Nodes[1].vote().Applied > 1 })
+	other.Nodes[1].Kill()
+	copied(t, other.Nodes[1].Votes(), one.Votes())
+	if err := one.Start(); err != nil {
+		t.Fatal(err)
+	}
+	comes(t, "it is up", func() bool { return one.vote().ID != "" })
+	for range 20 { // it may not even be asked; what counts is that it never gets in
+		if s := one.vote(); s.State == "leader" || s.Fleet == two.vote().Fleet {
+			t.Fatalf("a voter with another fleet's folder: %+v", s)
+		}
+		_ = sleep(t.Context(), 20*time.Millisecond)
+	}
+	for _, v := range two.vote().Voters {
+		if v.Name == one.Name && one.vote().Empty {
+			t.Errorf("%+v was taken in", v)
+		}
+	}
+	one.Kill()
+
+	// Cut anywhere within what it holds.
+	copied(t, old, one.Votes())
+	log := filepath.Join(one.Votes(), "raft.db")
+	if err := os.Truncate(log, 9000); err != nil {
+		t.Fatal(err)
+	}
+	if err := one.Start(); err != nil {
+		t.Fatal(err)
+	}
+	refused("cannot be used")
+
+	if err := one.Restart(true); err != nil {
+		t.Fatal(err)
+	}
+	comes(t, "the voter is taken in", func() bool { s := one.vote(); return s.State == "follower" && s.Fleet == two.vote().Fleet })
+	two.Kill() // the two that are left are a majority only with the new one
+	comes(t, "a leader", func() bool { return c.Leader() != nil })
+}
+
+// A voter whose log has reached its size stops voting, says so, and serves on; the others decide.
+func TestFullDisk(t *testing.T) {
+	fakes.Leaks(t)
+	a, err := NewAuditor("receiver")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer a.Close()
+	c := up(t, Options{Nodes: 4, MostLog: "1MiB", Posts: map[string]*End{"audit": &a.End}})
+	comes(t, "acts", func() bool { x, _ := a.Last(); return x.Token > 0 })
+	full := c.Nodes[2]
+	full.Kill()
+	f, err := os.OpenFile(filepath.Join(full.Votes(), "raft.db"), os.O_WRONLY|os.O_APPEND, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := f.Truncate(1 << 20); err != nil {
+		t.Fatal(err)
+	}
+	f.Close()
+	if err := full.Start(); err != nil {
+		t.Fatal(err)
+	}
+	comes(t, "it stops voting", func() bool {
+		s, err := full.Fleet()
+		return err == nil && strings.Contains(s.NoVote, "reached its size")
+	})
+	comes(t, "it serves", func() bool { s, err := full.Status(); return err == nil && s.Ready })
+	comes(t, "a leader", func() bool { return c.Leader() != nil })
+	x, _ := a.Last()
+	n := len(a.Acts())
+	comes(t, "acts", func() bool { return len(a.Acts()) > n+20 })
+	if f := Audit(a.Acts()); f.Broken() || x.Token == 0 {
+		t.Errorf("%+v", f)
+	}
+}
+
+// Names: another fleet with the same seeds, a member that claims another's name, a restart and a return, a member that joins
+// while the fleet is split, and a witness.
+func TestMembersOfAFleet(t *testing.T) {
+	fakes.Leaks(t)
+	c := up(t, Options{Nodes: 5, Witness: true, Probe: 50 * time.Millisecond})
+	all := func(want members.State, names ...string) func() bool {
+		return func() bool {
+			for _, n := range c.Nodes {
+				if !n.Up() {
+					continue
+				}
+				for _, name := range names {
+					if n.member(name).State != want {
+						return false
+					}
+				}
+			}
+			return true
+		}
+	}
+	comes(t, "five members", all(members.Serving, "n0", "n1", "n3", "n4"))
+	comes(t, "a witness", all(members.Witness, "n2"))
+	born := c.Nodes[0].member("n4").Birth
+	c.Alone(c.Nodes[4], Way{Cut: true})
+	comes(t, "it is dead to the others", func() bool { return c.Nodes[0].member("n4").State == members.Dead })
+	c.Heal()
+	comes(t, "it is back", all(members.Serving, "n4"))
+	if b := c.Nodes[0].member("n4").Birth; b != born {
+		t.Errorf("birth %d, was %d: it came back and was not started again", b, born)
+	}
+	if err := c.Nodes[4].Restart(false); err != nil {
+		t.Fatal(err)
+	}
+	comes(t, "it was started again", func() bool { m := c.Nodes[0].member("n4"); return m.Birth > born && m.State == members.Serving })
+
+	// A split, in which one joins.
+	c.Nodes[3].Kill()
+	comes(t, "it is dead", func() bool { return c.Nodes[0].member("n3").State == members.Dead })
+	c.Alone(c.Nodes[0], Way{Cut: true})
+	if err := c.Nodes[3].Start(); err != nil {
+		t.Fatal(err)
+	}
+	comes(t, "it joined one side", func() bool { return c.Nodes[1].member("n3").State == members.Serving })
+	c.Heal()
+	comes(t, "one fleet again", all(members.Serving, "n0", "n1", "n3", "n4"))
+
+	// Another fleet's member asks the same seeds; and one claims a name.
+	dir := t.TempDir()
+	stranger := func(name, member, host string) *Node {
+		x := &Node{Number: 4, Name: member, c: c, Dir: filepath.Join(dir, name), Address: host + ":7600", Admin: host + ":7601", Web: host + ":7602"}
+		if err := os.MkdirAll(x.Dir, 0o700); err != nil {
+			t.Fatal(err)
+		}
+		text := strings.Replace(x.file(), "name: rig", "name: "+name, 1)
+		text = text[:strings.Index(text, "  via:")] + text[strings.Index(text, "  quorum:"):]
+		path := filepath.Join(x.Dir, "x.yaml")
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		cmd := exec.CommandContext(t.Context(), binary(t), "serve", "-c", path)
+		if err := cmd.Start(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = cmd.Process.Kill(); _ = cmd.Wait() })
+		comes(t, name+" is up", func() bool { s, err := x.Fleet(); return err == nil && s.Self.Name == member })
+		return x
+	}
+	other := stranger("other", "n7", c.host+".77")
+	stranger("rig", "n3", c.host+".78")
+	comes(t, "the claim is seen", func() bool { s, _ := c.Nodes[0].Fleet(); return s.Conflicts > 0 })
+	if m := c.Nodes[0].member("n3"); m.Address != c.Nodes[3].Address {
+		t.Errorf("n3 is %s now", m.Address)
+	}
+	if m := c.Nodes[0].member("n7"); m.Name != "" {
+		t.Errorf("a member of another fleet: %+v", m)
+	}
+	if s, err := other.Fleet(); err != nil || len(s.Members) != 1 {
+		t.Errorf("the other fleet knows %+v, %v", s.Members, err)
+	}
+}
+
+// Twenty ask for one lease at once: one has it; released twice nothing happens; a later birth of the holder's name waits, and the
+// holder cannot renew; what is granted and never heard of ends by itself.
+func TestManyAskForOneLease(t *testing.T) {
+	fakes.Leaks(t)
+	c := up(t, Options{Nodes: 3})
+	comes(t, "a leader", func() bool { return c.Leader() != nil })
+	h, err := c.newClient(0, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer h.node.Close()
+	q := quorum.NewClient(h.node, c.Voters(), time.Second, fleet.Clock)
+	do := func(op quorum.Op, name string, birth, token uint64) (quorum.Result, error) {
+		r, _, err := q.Do(t.Context(), quorum.Command{Op: op, Lease: "one", Rules: lease.Rules{Length: testLease}, Member: lease.Member{Name: name, Birth: birth}, Token: token})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return r, r.Err()
+	}
+	var work sync.WaitGroup
+	var mu sync.Mutex
+	granted := map[string]uint64{}
+	for i := range 20 {
+		work.Go(func() {
+			name := fmt.Sprint("a", i)
+			if r, err := do(quorum.Acquire, name, 1, 0); err == nil {
+				mu.Lock()
+				granted[name] = r.Grant.Token
+				mu.Unlock()
+			}
+		})
+	}
+	work.Wait()
+	if len(granted) != 1 {
+		t.Fatalf("%v have it", granted)
+	}
+	for name, token := range granted {
+		if r, err := do(quorum.Acquire, name, 1, 0); err != nil || r.Grant.Token != token {
+			t.Errorf("asked once more, as an answer may have been lost: %+v, %v", r, err)
+		}
+		if _, err := do(quorum.Acquire, name, 2, 0); err == nil {
+			t.Error("a process that was started again has it at once")
+		}
+		if _, err := do(quorum.Renew, name, 1, token); err == nil {
+			t.Error("renewed though a later birth has asked")
+		}
+		for range 2 {
+			if _, err := do(quorum.Release, name, 1, token); err != nil {
+				t.Error(err)
+			}
+		}
+	}
+	// Whoever has it now never hears of it: it ends by itself.
+	next := uint64(0)
+	comes(t, "it ends by itself", func() bool { r, err := do(quorum.Acquire, "z", 1, 0); next = r.Grant.Token; return err == nil })
+	for _, token := range granted {
+		if next <= token {
+			t.Errorf("token %d behind %d", next, token)
+		}
+	}
+}
+
+// One subscription for a site under load: the holder is frozen, the control plane goes and returns, and all are cut off from
+// each other for many leases. Every version reaches every gateway, none goes back, and no request fails for any of it.
+func TestOneSubscriptionForASite(t *testing.T) {
+	fakes.Leaks(t)
+	s, err := NewSite(t.Context(), SiteOptions{Binary: binary(t), Dir: t.TempDir(), Gateways: 4, Shared: true, Lease: testLease, OwnAfter: time.Second, Heartbeat: 100 * time.Millisecond})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	load := s.Load(50)
+	open := func() int { n, _ := s.Plane.Streams(); return n }
+	one := func() bool { return open() == 1 && s.Holder() != nil }
+	comes(t, "one stream", one)
+	push := func(within time.Duration, origins ...int) {
+		t.Helper()
+		at, err := s.Push(origins...)
+		if err == nil {
+			err = s.Have(t.Context(), within)
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, o := range s.Origins[len(origins):] {
+			if n := o.After(at.Add(time.Second)); n != 0 {
+				t.Errorf("%d requests to one that was removed", n)
+			}
+		}
+	}
+	for range 5 {
+		push(back, 0, 1)
+		push(back, 0, 1, 2)
+	}
+	if n := open(); n != 1 {
+		t.Errorf("%d streams", n)
+	}
+
+	old := s.Holder()
+	old.Freeze()
+	comes(t, "another holder", func() bool { h := s.Holder(); return h != nil && h != old })
+	push(back, 0, 1)
+	old.Thaw()
+	if err := s.Have(t.Context(), back); err != nil { // also the one that was frozen
+		t.Error(err)
+	}
+	comes(t, "one stream", one)
+
+	s.Plane.GoAway()
+	comes(t, "it is noticed", func() bool { return open() == 0 })
+	_, before := s.Plane.Streams()
+	if _, err := s.Push(0, 1, 2); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Plane.Return(); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Have(t.Context(), back); err != nil {
+		t.Error(err)
+	}
+	if _, ever := s.Plane.Streams(); ever-before > 2 {
+		t.Errorf("%d streams at the return", ever-before)
+	}
+
+	// No quorum, and no member: each goes on, and after a while by itself.
+	for _, n := range s.Nodes {
+		s.Alone(n, Way{Cut: true})
+	}
+	comes(t, "each on a stream of its own", func() bool { return open() == len(s.Nodes) })
+	push(back, 0, 1)
+	comes(t, "the loss is told", func() bool {
+		st, err := s.Nodes[0].Fleet()
+		return err == nil && st.Stale != "" && st.Contact.Error != ""
+	})
+	s.Heal()
+	comes(t, "one stream", one)
+	push(back, 0, 1, 2)
+	if why := load.Stop(); why != "" || load.Asked.Load() < 500 {
+		t.Errorf("%d of %d failed, first %s", load.Failed.Load(), load.Asked.Load(), why)
+	}
+}
--- /dev/null
+++ b/tools/measure/duties.go
@@ -0,0 +1,94 @@
+package main
+
+import (
+	"fmt"
+	"runtime"
+	"slices"
+	"time"
+
+	"arrowhitch/internal/standin/cluster"
+)
+
+// mostSchedules bounds a campaign.
+const mostSchedules = 2000
+
+// duties plays seeded schedules of faults against fleets of the built program, and then a few with each safeguard off.
+func duties(seeds, at int, first uint64) error {
+	ctx, dir, plain, done, err := built()
+	defer done()
+	if err != nil {
+		return err
+	}
+	planted, err := cluster.Build(ctx, dir, "planted")
+	if err != nil {
+		return err
+	}
+	began := time.Now()
+	seeds = min(seeds, mostSchedules)
+	sum, broken, ops, unlinear, undecided := cluster.Finding{}, 0, 0, 0, 0
+	gaps := map[cluster.Fault][]time.Duration{}
+	var list []uint64
+	for i := range seeds {
+		list = append(list, first+uint64(i))
+	}
+	lease := 600 * time.Millisecond
+	cluster.Campaign(ctx, list, at, cluster.PlayOptions{Binary: plain, Dir: dir, Lease: lease, History: true}, func(v cluster.Verdict) {
+		if v.Broken() {
+			broken++
+			fmt.Println(&v)
+		}
+		sum.Add(v.Finding)
+		ops += v.Operations
+		for f, l := range v.Gaps {
+			gaps[f] = append(gaps[f], l...)
+		}
+		if v.Unlinear {
+			unlinear++
+		}
+		if v.Undecided {
+			undecided++
+		}
+	})
+	fmt.Printf("%d schedules in %v on %d processors, %d at once; lease %v\n", seeds, time.Since(began).Round(time.Second), runtime.NumCPU(), at, lease)
+	fmt.Printf("acts %d, holders %d, refused by their token %d\n", sum.Acts, sum.Holders, sum.Refused)
+	fmt.Printf("accepted out of order %d, two under one token %d, begun beyond the lease %d\n", sum.Disorder, sum.Two, sum.Beyond)
+	fmt.Printf("lease operations %d, histories not linearizable %d, not decided in time %d\n", ops, unlinear, undecided)
+	fmt.Printf("schedules with something broken %d\n\n", broken)
+	fmt.Println("without an act, over leases: n, p50, p99, max")
+	for _, f := range cluster.Faults {
+		l := gaps[f]
+		if len(l) == 0 {
+			continue
+		}
+		slices.Sort(l)
+		at := func(q float64) float64 { return l[min(int(q*float64(len(l))), len(l)-1)].Seconds() / lease.Seconds() }
+		fmt.Printf("%-70s %4d %6.2f %6.2f %6.2f\n", f, len(l), at(0.5), at(0.99), at(1))
+	}
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	// What must be found out.
+	for _, w := range []struct {
+		what   string
+		fault  cluster.Fault
+		binary string
+		open   bool
+	}{{"the receiver takes every token", cluster.LateAct, plain, true}, {"a holder goes on when its lease is over", cluster.FreezeLong, planted, false}} {
+		found := cluster.Finding{}
+		for seed := range uint64(5) {
+			v := cluster.Play(ctx, cluster.Schedule{Seed: seed, Nodes: 3, Faults: []cluster.Fault{w.fault, w.fault}}, cluster.PlayOptions{Binary: w.binary, Dir: dir, Lease: lease, Unfenced: w.open})
+			if v.Err != nil {
+				return v.Err
+			}
+			found.Add(v.Finding)
+		}
+		fmt.Printf("\nsafeguard off, %s (5 schedules): accepted out of order %d, begun beyond the lease %d\n  %s\n", w.what, found.Disorder, found.Beyond, found.First)
+		if !found.Broken() {
+			return fmt.Errorf("with a safeguard off (%s) nothing was found: the audit is blind", w.what)
+		}
+	}
+	if broken > 0 {
+		return fmt.Errorf("%d schedules broke something", broken)
+	}
+	return nil
+}
--- /dev/null
+++ b/tools/measure/fleet.go
@@ -0,0 +1,170 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/signal"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"arrowhitch/internal/standin/cluster"
+	"arrowhitch/internal/standin/origin"
+)
+
+// built makes a folder with the program.
+func built() (ctx context.Context, dir, binary string, done func(), err error) {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	dir, remove, err := cluster.Folder()
+	if err != nil {
+		stop()
+		return ctx, "", "", func() {}, err
+	}
+	done = func() { remove(); stop() }
+	binary, err = cluster.Build(ctx, dir)
+	return ctx, dir, binary, done, err
+}
+
+// herd has a control plane away for 10 s and back with a new version, before 20 gateways with a subscription each and with one
+// for all.
+func herd() error {
+	ctx, dir, binary, done, err := built()
+	defer done()
+	if err != nil {
+		return err
+	}
+	machine()
+	fmt.Println("20 gateways, each asked 20 times a second; the control plane is away for 10 s and returns with a new version")
+	fmt.Println("subscription      streams in 1 s  in 3 s  requests  all have it after  asked  failed")
+	for _, shared := range []bool{false, true, false, true} {
+		s, err := cluster.NewSite(ctx, cluster.SiteOptions{Binary: binary, Dir: dir, Gateways: 20, Shared: shared, Lease: 2 * time.Second, OwnAfter: 5 * time.Second, Heartbeat: 500 * time.Millisecond})
+		if err != nil {
+			return err
+		}
+		r, err := s.Herd(ctx, shared, 10*time.Second)
+		s.Close()
+		if err != nil {
+			return err
+		}
+		fmt.Printf("%-16s %15d %7d %9d %18v %6d %7d  %s\n", map[bool]string{false: "each its own", true: "one for all"}[shared], r.First, r.Streams, r.Requests,
+			r.All.Round(time.Millisecond), r.Asked, r.Failed, r.Why)
+	}
+	return nil
+}
+
+// path holds requests with a fleet against requests without one, and then takes the quorum away for a minute.
+func path(requests, rounds int) error {
+	ctx, dir, binary, done, err := built()
+	defer done()
+	if err != nil {
+		return err
+	}
+	o, err := origin.Start("", nil)
+	if err != nil {
+		return err
+	}
+	defer o.Kill()
+	file := func(int) string {
+		return fmt.Sprintf("clusters: [{name: c, endpoints: [{address: %q}]}]\nroutes: [{match: {prefix: /}, cluster: c}]\n", o.Addr)
+	}
+	a, err := cluster.NewAuditor("receiver")
+	if err != nil {
+		return err
+	}
+	defer a.Close()
+	both := map[bool]*cluster.Cluster{}
+	for _, on := range []bool{false, true} {
+		folder, err := os.MkdirTemp(dir, "path-")
+		if err != nil {
+			return err
+		}
+		opt := cluster.Options{Binary: binary, Dir: folder, Nodes: 1, NoFleet: true, File: file}
+		if on {
+			opt = cluster.Options{Binary: binary, Dir: folder, Nodes: 3, File: file, Lease: 2 * time.Second, Beat: 300 * time.Millisecond, Probe: time.Second,
+				Posts: map[string]*cluster.End{"audit": &a.End}, Every: 100 * time.Millisecond}
+		}
+		c, err := cluster.New(opt)
+		if err != nil {
+			return err
+		}
+		defer c.Close()
+		if err := c.Start(); err != nil {
+			return err
+		}
+		both[on] = c
+	}
+	if err := cluster.Await(ctx, "a duty that runs", 30*time.Second, func() bool { last, _ := a.Last(); return last.Token > 0 }); err != nil {
+		return err
+	}
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}, Timeout: 10 * time.Second}
+	ask := func(n *cluster.Node, h *hdrhistogram.Histogram, mu *sync.Mutex) error {
+		began := time.Now()
+		resp, err := client.Get("http://" + n.Web + "/")
+		if err != nil {
+			return err
+		}
+		_, err = io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
+		if err == nil && resp.StatusCode != http.StatusOK {
+			err = fmt.Errorf("%s", resp.Status)
+		}
+		mu.Lock()
+		_ = h.RecordValue(time.Since(began).Microseconds())
+		mu.Unlock()
+		return err
+	}
+	machine()
+	fmt.Printf("%d rounds of %d requests by 16 clients, one process each\n", rounds, requests)
+	fmt.Println("fleet   p50 us  p99 us  CPU us a request  memory MB  failed")
+	for round := range rounds {
+		for _, on := range []bool{round%2 == 0, round%2 != 0} {
+			n := both[on].Nodes[0]
+			h, mu, failed := hdrhistogram.New(1, 60_000_000, 3), sync.Mutex{}, 0
+			before, _ := usage(n.Process().PID())
+			var work sync.WaitGroup
+			for range 16 {
+				work.Go(func() {
+					for range requests / 16 {
+						if err := ask(n, h, &mu); err != nil {
+							mu.Lock()
+							failed++
+							mu.Unlock()
+						}
+					}
+				})
+			}
+			work.Wait()
+			after, rss := usage(n.Process().PID())
+			fmt.Printf("%-6v %7d %7d %17.1f %10.1f %7d\n", map[bool]string{true: "on", false: "off"}[on], h.ValueAtQuantile(50), h.ValueAtQuantile(99),
+				float64((after-before).Microseconds())/float64(requests/16*16), float64(rss)/(1<<20), failed)
+		}
+	}
+	// A minute without a quorum.
+	c := both[true]
+	for _, n := range c.Nodes[1:] {
+		n.Kill()
+	}
+	h, mu, failed, asked := hdrhistogram.New(1, 60_000_000, 3), sync.Mutex{}, 0, 0
+	tick := time.NewTicker(5 * time.Millisecond)
+	defer tick.Stop()
+	for end := time.Now().Add(time.Minute); time.Now().Before(end) && ctx.Err() == nil; <-tick.C {
+		asked++
+		if err := ask(c.Nodes[0], h, &mu); err != nil {
+			failed++
+		}
+	}
+	s, err := c.Nodes[0].Fleet()
+	if err != nil {
+		return err
+	}
+	fmt.Printf("\na minute without a quorum: %d requests, %d failed, p50 %d us, p99 %d us\n  it says: %s\n", asked, failed, h.ValueAtQuantile(50), h.ValueAtQuantile(99), s.Stale)
+	if failed > 0 {
+		return fmt.Errorf("%d requests failed for want of a quorum", failed)
+	}
+	return ctx.Err()
+}
--- a/tools/measure/main.go
+++ b/tools/measure/main.go
@@ -7,6 +7,9 @@
 //	go run ./tools/measure zone    loss and return of a zone on simulated time: tiers, none, plain failover
 //	go run ./tools/measure zone-big  the same with 200 gateways and 72 servers
 //	go run ./tools/measure overload  bursts and overloads on simulated time, five ways of admission
+//	go run ./tools/measure duties  seeded faults against fleets of processes: duties held twice, time without a holder
+//	go run ./tools/measure herd    what a control plane sees when it returns before 20 gateways: a subscription each, and one for all
+//	go run ./tools/measure path    requests with a fleet and without one; a minute without a quorum
 //
 // Experiments on loopback are robindrum lab run --engine loopback.
 //
@@ -52,6 +55,9 @@
 	requests := flag.Int("requests", 20000, "requests of one round of proxy, 200000 at most")
 	rounds := flag.Int("rounds", 5, "rounds of proxy")
 	updates := flag.Int("updates", 1000, "updates of push, 5000 at most")
+	schedules := flag.Int("schedules", 300, "schedules of duties, 2000 at most")
+	first := flag.Uint64("first", 1, "first seed of duties")
+	at := flag.Int("at", max(runtime.NumCPU()/2, 1), "schedules of duties at once")
 	flag.Parse()
 	var err error
 	switch flag.Arg(0) {
@@ -67,10 +73,16 @@
 		err = zones(flag.Arg(0) == "zone-big")
 	case "overload":
 		err = overload()
+	case "duties":
+		err = duties(*schedules, *at, *first)
+	case "herd":
+		err = herd()
+	case "path":
+		err = path(min(*requests, 200000), min(*rounds, 20))
 	case "child": // what is measured
 		err = child(flag.Arg(1), flag.Args()[2:])
 	default:
-		err = errors.New("want proxy, push, flood, size, zone, zone-big or overload")
+		err = errors.New("want proxy, push, flood, size, zone, zone-big, overload, duties, herd or path")
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "measure:", err)
@@ -121,8 +133,10 @@
 }
 
 // usage is the CPU time that it has used and its resident memory.
-func (p *process) usage() (cpu time.Duration, resident int64) {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+func (p *process) usage() (cpu time.Duration, resident int64) { return usage(p.cmd.Process.Pid) }
+
+func usage(pid int) (cpu time.Duration, resident int64) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
 	if err != nil {
 		return 0, 0
 	}
