--- a/cmd/robindrum/fleet.go
+++ b/cmd/robindrum/fleet.go
@@ -158,7 +158,7 @@
 
 func witnessCommand() *cobra.Command {
 	var path string
-	var parent bool
+	var parent, only bool
 	c := &cobra.Command{Use: "witness -c FILE", Short: "Vote in a fleet and serve no traffic", Args: noArgs,
 		Long: "Vote in a fleet and serve no traffic, until SIGTERM: a third place beside two sites, so that a majority outlasts either.\nThe file has the sections fleet, admin and log. Ends with exit code 1 where it cannot vote any more.",
 		RunE: func(c *cobra.Command, _ []string) error {
@@ -168,9 +168,22 @@
 				ctx, cancel = untilParent(ctx, c.InOrStdin())
 				defer cancel()
 			}
+			if only {
+				w, err := config.LoadWitness(path)
+				if err != nil {
+					fmt.Fprintln(c.ErrOrStderr(), err)
+					return errReported
+				}
+				for _, text := range w.Warnings() {
+					fmt.Fprintf(c.ErrOrStderr(), "%s: warning: %s\n", path, text)
+				}
+				fmt.Fprintf(c.OutOrStdout(), "%s: voter %s, one of %d: good\n", path, w.Fleet.Member, len(w.Fleet.Quorum.Voters))
+				return nil
+			}
 			return witness(ctx, path, c.ErrOrStderr())
 		}}
 	c.Flags().StringVarP(&path, "config", "c", "", "the configuration `file`")
+	c.Flags().BoolVar(&only, "check", false, "only say whether the file can be used")
 	c.Flags().BoolVar(&parent, "with-parent", false, "end, as with SIGTERM, when standard input ends")
 	must(c.Flags().MarkHidden("with-parent"))
 	must(c.MarkFlagRequired("config"))
--- a/cmd/robindrum/try.go
+++ b/cmd/robindrum/try.go
@@ -18,6 +18,7 @@
 	var rate int
 	var verbose bool
 	var scene string
+	scenes := append(slices.Clone(try.Scenes), "lease-loss")
 	c := &cobra.Command{Use: "try", Short: "Play the main job on embedded stand-ins", Args: noArgs,
 		Long: "Start servers in two zones, a control plane and a gateway on loopback, send a bounded load and show what happens while a\n" +
 			"server is slow, one drains, one dies and the control plane goes away. Exits with 1 if a rule broke.",
@@ -26,12 +27,23 @@
 			if length <= 0 || rate <= 0 {
 				return fmt.Errorf("--length and --rate want more than 0: %w", errUsage)
 			}
-			if !slices.Contains(try.Scenes, scene) {
-				return fmt.Errorf("--scene wants %s, not %q: %w", strings.Join(try.Scenes, " or "), scene, errUsage)
+			if !slices.Contains(scenes, scene) {
+				return fmt.Errorf("--scene wants %s, not %q: %w", strings.Join(scenes, " or "), scene, errUsage)
 			}
 			if scene == "zone-loss" && !c.Flags().Changed("length") {
 				length = 30 * time.Second // the way back takes its time
 			}
+			if scene == "lease-loss" {
+				self, err := os.Executable()
+				if err != nil {
+					return err
+				}
+				if err := try.LeaseLoss(c.Context(), self, out); err != nil {
+					return err
+				}
+				fmt.Fprintln(out, "\nall rules kept")
+				return nil
+			}
 			s, err := try.Run(c.Context(), try.Options{Scene: scene, Length: length, Rate: rate, Out: out, Redraw: out == os.Stdout && terminal(os.Stdout), Verbose: verbose})
 			if err != nil {
 				return err
@@ -45,7 +57,7 @@
 			return nil
 		}}
 	c.Flags().DurationVar(&length, "length", 20*time.Second, "how long the load lasts")
-	c.Flags().StringVar(&scene, "scene", try.Scenes[0], "what is played: "+strings.Join(try.Scenes, " or "))
+	c.Flags().StringVar(&scene, "scene", try.Scenes[0], "what is played: "+strings.Join(scenes, " or "))
 	c.Flags().IntVar(&rate, "rate", 250, "requests a second")
 	c.Flags().BoolVarP(&verbose, "verbose", "v", false, "the gateway's own log lines as well")
 	return c
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -295,3 +295,47 @@
 		}
 	}
 }
+
+// The fleet's block: each mistake with its place, all at once; and what can be used but should be looked at.
+func TestFleetBlock(t *testing.T) {
+	const head = "listeners: [{name: a, address: \"127.0.0.1:1\"}]\nclusters: [{name: c, endpoints: [{address: \"127.0.0.1:9\"}]}]\nroutes: [{match: {prefix: /}, cluster: c}]\n"
+	const bad = `fleet:
+  name: "two words"
+  address: 10.1.2.3:7600
+  advertise: host:7600
+  seeds: ["127.0.0.1"]
+  lease: 1s
+  probe: 1ms
+  quorum:
+    heartbeat: 500ms
+    voters: [{name: a, address: "127.0.0.1:1"}, {name: a, address: "127.0.0.1:2"}]
+  subscription: {heartbeat: 4s}
+  posts: [{name: p, url: "ftp://x"}, {name: p, url: "http://x/"}]
+`
+	_, err := Parse("x.yaml", []byte(head+bad))
+	for _, want := range []string{"5:9: fleet.name", "fleet.member: is missing", "6:12: fleet.address: 10.1.2.3:7600 is not on loopback", "fleet.advertise: \"host:7600\" is not an IP", "fleet.seeds[0]",
+		"fleet.lease: 1s, want four times", "fleet.probe: want 10ms", "fleet.quorum.voters: want 3 or 5", "fleet.quorum.voters[1]: a 127.0.0.1:2 stands twice", "fleet.subscription: needs fleet.site",
+		"fleet.subscription.heartbeat", "fleet.subscription: there are no xds.servers", "fleet.posts[0].url", "fleet.posts[1].name: \"p\" stands twice"} {
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q is missing in\n%v", want, err)
+		}
+	}
+	good := "fleet:\n  name: f\n  member: a\n  address: 8.8.8.8:7600\n  remote: true\n  quorum: {folder: votes, voters: [{name: a, address: \"8.8.8.8:7600\"}]}\n"
+	f, err := Parse("dir/x.yaml", []byte(head+good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if w := fmt.Sprint(f.Warnings()); !strings.Contains(w, "not on a private address") || !strings.Contains(w, "one voter") || f.Fleet.Quorum.Folder != "dir/votes" {
+		t.Errorf("%s, %q", w, f.Fleet.Quorum.Folder)
+	}
+	path := filepath.Join(t.TempDir(), "w.yaml")
+	if err := os.WriteFile(path, []byte(strings.Replace(good, "member: a", "member: b", 1)+"  posts: [{name: p, url: \"http://x/\"}]\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	_, err = LoadWitness(path)
+	for _, want := range []string{"\"b\" is not among", "a witness has no duties"} {
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q is missing in\n%v", want, err)
+		}
+	}
+}
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -79,6 +79,7 @@
 	mu     sync.Mutex
 	duties map[string]*Status
 	held   int
+	wake   chan struct{} // closed and made anew by Wake
 }
 
 // State is where a duty stands in this process.
@@ -105,7 +106,7 @@
 
 // NewRunner makes one.
 func NewRunner(q Quorum, opt Options) *Runner {
-	return &Runner{opt: opt, q: q, duties: map[string]*Status{}}
+	return &Runner{opt: opt, q: q, duties: map[string]*Status{}, wake: make(chan struct{})}
 }
 
 // Status tells of all duties, in no order.
@@ -167,6 +168,8 @@
 		if err == nil {
 			err = res.Err()
 		}
+		length := d.Rules.Length
+		again := length/8 + rand.N(length/8)
 		switch {
 		case err == nil:
 			h := &Hold{r: r}
@@ -177,22 +180,45 @@
 			continue
 		case errors.Is(err, lease.ErrWaiting):
 			r.set(&d, Waiting, 0, nil)
+			// Who is first asks just when it may be free. The others ask often enough to keep their places, at random, so that
+			// they do not ask in step, and in case the first one is gone.
+			if again = length/2 + rand.N(length*2/5); res.First {
+				again = min(max(res.Left+length/50, length/20), length*9/10)
+			}
 		case errors.Is(err, quorum.ErrNone):
 			r.set(&d, NoWord, 0, err)
 		default:
 			r.set(&d, Waiting, 0, err)
 		}
-		// Half of it at random, so that those who wait do not ask in step.
-		wait(ctx, d.Rules.Length/8+rand.N(d.Rules.Length/8))
+		var wake <-chan struct{}
+		if res.First {
+			wake = r.woken()
+		}
+		wait(ctx, again, wake)
 	}
 }
 
-func wait(ctx context.Context, d time.Duration) {
+// Wake has those duties asked for at once that this process is first in line for: a holder may have given one back.
+func (r *Runner) Wake() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	close(r.wake)
+	r.wake = make(chan struct{})
+}
+
+func (r *Runner) woken() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.wake
+}
+
+func wait(ctx context.Context, d time.Duration, wake <-chan struct{}) {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
 	case <-t.C:
+	case <-wake:
 	}
 }
 
@@ -264,7 +290,7 @@
 // renew renews a lease until ctx ends or it is lost.
 func (r *Runner) renew(ctx context.Context, d *Duty, h *Hold, token uint64, lost chan<- struct{}) {
 	for {
-		wait(ctx, d.Rules.Length/4)
+		wait(ctx, d.Rules.Length/4, nil)
 		if ctx.Err() != nil {
 			return
 		}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -134,6 +134,22 @@
 	for _, d := range f.duties {
 		f.work.Go(func() { f.runner.Run(f.life, d) })
 	}
+	f.work.Go(f.watch)
+}
+
+// watch asks for duties whose holder may have gone.
+func (f *Fleet) watch() {
+	events := f.list.Watch()
+	for {
+		select {
+		case <-f.life.Done():
+			return
+		case e := <-events:
+			if e.Restarted || e.Member.State != members.Joining && e.Member.State != members.Serving {
+				f.runner.Wake()
+			}
+		}
+	}
 }
 
 // Say changes what this process says of itself.
@@ -142,6 +158,7 @@
 // Drain ends the duties and gives their leases back; all else goes on.
 func (f *Fleet) Drain() {
 	f.end()
+	f.work.Wait() // so that a duty is free when the others hear of it
 	f.list.Say(members.Draining, f.list.Self().Config)
 }
 
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -258,6 +258,11 @@
 	if t.Now-l.Granted < l.Rules.Floor || l.Heir != "" && t.Now < l.Until { // an heir has a length to come
 		return -1
 	}
+	return t.best(l)
+}
+
+// best is who of those in line would have a lease that is free; there is one at the least.
+func (t *Table) best(l *Lease) int {
 	best := 0
 	for i := range l.Line {
 		if t.before(l, &l.Line[i], &l.Line[best]) {
@@ -286,6 +291,20 @@
 	return cmp.Or(cmp.Compare(away(a), away(b)), cmp.Compare(a.Member.Load, b.Member.Load), cmp.Compare(a.Since, b.Since)) < 0
 }
 
+// Due tells one who waits when a lease may be free at the earliest, counted from the latest reading of the clock, and whether
+// it would be first then. Who asks just then, and others now and then, hands over quickly without many asking.
+func (t *Table) Due(name string, m Member) (left time.Duration, first bool) {
+	l := t.Leases[name]
+	if l == nil || len(l.Line) == 0 {
+		return 0, false
+	}
+	at := l.Granted + l.Rules.Floor
+	if l.Holder.Name != "" || l.Heir != "" {
+		at = max(at, l.Until)
+	}
+	return max(at-t.Now, 0), l.Line[t.best(l)].Member.is(m)
+}
+
 // grant gives a lease to one in line, under a new token.
 func (t *Table) grant(l *Lease, i int) Grant {
 	l.Holder = l.Line[i].Member
--- a/internal/quorum/quorum.go
+++ b/internal/quorum/quorum.go
@@ -194,6 +194,7 @@
 	if s.end != nil {
 		s.end()
 	}
+	s.leading.Store(false)
 	_ = s.trans.Close()
 	f := s.raft.Shutdown()
 	if s.Stopped() == "" { // one whose goroutine ended by a failed write never says that it is done
--- a/internal/quorum/quorum_test.go
+++ b/internal/quorum/quorum_test.go
@@ -273,3 +273,34 @@
 		}
 	})
 }
+
+// A voter that starts again has from its snapshot what was agreed, and tokens go on rising.
+func TestSnapshotAndRestart(t *testing.T) {
+	fakes.Leaks(t)
+	l, c := begin(t)
+	first := acquire(t, c, "a").Grant.Token
+	for _, v := range l {
+		if err := v.raft.Snapshot().Error(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	old := leads(l)
+	old.Close()
+	fakes.Eventually(t, "another leader", func() bool { v := leads(l); return v != nil && v != old })
+	n, err := peer.Listen(peer.Options{Fleet: "test", Address: "127.0.0.1:0", Log: slog.New(slog.DiscardHandler)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	again, err := Open(n, Options{Dir: old.dir, Name: old.opt.Name, Voters: old.opt.Voters, Heartbeat: 100 * time.Millisecond, Log: slog.New(slog.DiscardHandler)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer n.Close()
+	defer again.Close()
+	if v := again.state.views(0); len(v) != 1 || v[0].Token != first || again.Status().Fleet == "" {
+		t.Errorf("%+v of fleet %q", v, again.Status().Fleet)
+	}
+	if got := acquire(t, c, "b").Grant.Token; got <= first {
+		t.Errorf("token %d behind %d", got, first)
+	}
+}
--- a/internal/quorum/state.go
+++ b/internal/quorum/state.go
@@ -48,6 +48,9 @@
 	// Code is empty, or why not: waiting, lost, old, full, bad.
 	Code string `json:"code,omitempty"`
 	Text string `json:"text,omitempty"`
+	// Of one who waits: when the lease may be free at the earliest, and whether it is first in line for it.
+	Left  time.Duration `json:"left,omitempty"`
+	First bool          `json:"first,omitempty"`
 }
 
 var codes = map[string]error{"waiting": lease.ErrWaiting, "lost": lease.ErrLost, "old": lease.ErrOld, "full": lease.ErrFull}
@@ -112,7 +115,11 @@
 		}
 		return Result{}
 	case Acquire:
-		return result(t.Acquire(term, c.Now, c.Lease, c.Rules, c.Member))
+		r := result(t.Acquire(term, c.Now, c.Lease, c.Rules, c.Member))
+		if r.Code == "waiting" {
+			r.Left, r.First = t.Due(c.Lease, c.Member)
+		}
+		return r
 	case Renew:
 		return result(t.Renew(term, c.Now, c.Lease, c.Member, c.Token))
 	case Release:
--- a/internal/standin/cluster/campaign.go
+++ b/internal/standin/cluster/campaign.go
@@ -171,6 +171,9 @@
 		if err == nil {
 			err = p.acts(ctx)
 		}
+		if err == nil {
+			err = p.whole(ctx)
+		}
 		if err != nil {
 			v.Err = fmt.Errorf("fault %d, %s: %w", i+1, f, err)
 			break
@@ -258,6 +261,21 @@
 	return nil
 }
 
+// whole waits until every voter votes: one with an empty folder does when the leader has taken it in, and until then the
+// next fault would be one more than a majority stands.
+func (p *play) whole(ctx context.Context) error {
+	voters := p.c.Nodes[:p.c.opt.Voters]
+	return Await(ctx, "all voters", back, func() bool {
+		for _, n := range voters {
+			s, err := n.Fleet()
+			if err != nil || s.Vote == nil || s.Vote.Empty || len(s.Vote.Voters) != len(voters) || s.Vote.State != "leader" && s.Vote.State != "follower" || s.Vote.Leader == "" {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // holder is who took the last act; leader who leads, or a voter by chance where nobody is known to.
 func (p *play) holder() (*Node, uint64) {
 	a, _ := p.a.Last()
--- a/internal/standin/cluster/site.go
+++ b/internal/standin/cluster/site.go
@@ -34,6 +34,7 @@
 	OwnAfter    time.Duration
 	Heartbeat   time.Duration // of the holder of the subscription
 	Seed        uint64
+	Posts       map[string]*End
 }
 
 // NewSite starts one, and waits until every gateway is ready.
@@ -65,7 +66,7 @@
 		fleet = fmt.Sprintf("  subscription: {own_after: %v, spread: %v, heartbeat: %v}\n", o.OwnAfter, o.OwnAfter, o.Heartbeat)
 	}
 	plane := &End{Name: "plane", Addr: s.Plane.Addr}
-	if s.Cluster, err = New(Options{Binary: o.Binary, Dir: s.dir, Nodes: o.Gateways, Sites: []string{"s"}, Lease: o.Lease, Beat: o.Lease / 6, XDS: plane, Seed: o.Seed,
+	if s.Cluster, err = New(Options{Binary: o.Binary, Dir: s.dir, Nodes: o.Gateways, Sites: []string{"s"}, Lease: o.Lease, Beat: o.Lease / 6, XDS: plane, Seed: o.Seed, Posts: o.Posts,
 		Fleet: func(int) string { return fleet },
 		File:  func(int) string { return "clusters: []\nroutes: [{match: {prefix: /}, cluster: c}]\n" }}); err != nil {
 		return fail(err)
--- a/tools/measure/duties.go
+++ b/tools/measure/duties.go
@@ -41,6 +41,9 @@
 		ops += v.Operations
 		for f, l := range v.Gaps {
 			gaps[f] = append(gaps[f], l...)
+			if d := slices.Max(l); d > 10*lease {
+				fmt.Printf("seed %d: %v without an act: %s, of %v\n", v.Seed, d, f, v.Faults)
+			}
 		}
 		if v.Unlinear {
 			unlinear++
--- a/tools/measure/fleet.go
+++ b/tools/measure/fleet.go
@@ -4,15 +4,22 @@
 	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"net/http"
 	"os"
 	"os/signal"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"arrowhitch/internal/duty"
+	"arrowhitch/internal/fleet"
+	"arrowhitch/internal/lease"
+	"arrowhitch/internal/peer"
+	"arrowhitch/internal/quorum"
 	"arrowhitch/internal/standin/cluster"
 	"arrowhitch/internal/standin/origin"
 )
@@ -168,3 +175,138 @@
 	}
 	return ctx.Err()
 }
+
+// gate is a client of the quorum that can die: then it asks no more.
+type gate struct {
+	*quorum.Client
+	dead  atomic.Bool
+	asked *atomic.Int64
+}
+
+func (g *gate) Do(ctx context.Context, c quorum.Command) (quorum.Result, time.Duration, error) {
+	if g.dead.Load() {
+		<-ctx.Done()
+		return quorum.Result{}, 0, quorum.ErrNone
+	}
+	g.asked.Add(1)
+	return g.Client.Do(ctx, c)
+}
+
+// quorumTraffic has 10, 50 and 200 members ask for one lease: three voters are processes, the members are clients in this one.
+func quorumTraffic() error {
+	ctx, dir, binary, done, err := built()
+	defer done()
+	if err != nil {
+		return err
+	}
+	machine()
+	fmt.Println("three voters (processes), members as clients in one process, one lease of 10 s held for 30 s; then its holder dies, 10 times with a lease of 2 s")
+	fmt.Println("members  asks a second  entries a second  bytes a second  voters' CPU  hand-over: p50    max")
+	for _, n := range []int{10, 50, 200} {
+		folder, err := os.MkdirTemp(dir, "quorum-")
+		if err != nil {
+			return err
+		}
+		c, err := cluster.New(cluster.Options{Binary: binary, Dir: folder, Nodes: 3, Lease: 10 * time.Second, Beat: 300 * time.Millisecond, Probe: time.Second})
+		if err != nil {
+			return err
+		}
+		if err := c.Start(); err != nil {
+			c.Close()
+			return err
+		}
+		err = traffic(ctx, c, n)
+		c.Close()
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func traffic(ctx context.Context, c *cluster.Cluster, n int) error {
+	if err := cluster.Await(ctx, "a leader", 30*time.Second, func() bool { return c.Leader() != nil }); err != nil {
+		return err
+	}
+	var asked atomic.Int64
+	type began struct {
+		member int
+		at     time.Duration
+	}
+	run := func(name string, length time.Duration, gates []*gate, each chan<- began) (stop func(), sent func() int64, err error) {
+		life, end := context.WithCancel(ctx)
+		node, err := peer.Listen(peer.Options{Fleet: "rig", Address: "127.0.0.1:0", Log: slog.New(slog.DiscardHandler)})
+		if err != nil {
+			end()
+			return nil, nil, err
+		}
+		var work sync.WaitGroup
+		for i := range gates {
+			gates[i] = &gate{Client: quorum.NewClient(node, c.Voters(), 600*time.Millisecond, fleet.Clock), asked: &asked}
+			r := duty.NewRunner(gates[i], duty.Options{Member: lease.Member{Name: fmt.Sprint("m", i), Birth: 1}, Now: fleet.Clock, Log: slog.New(slog.DiscardHandler)})
+			work.Go(func() {
+				r.Run(life, duty.Duty{Name: name, Rules: lease.Rules{Length: length}, Run: func(ctx context.Context, h *duty.Hold) {
+					select {
+					case each <- began{i, fleet.Clock()}:
+					case <-ctx.Done():
+					}
+					<-ctx.Done()
+				}})
+			})
+		}
+		return func() { end(); work.Wait(); node.Close() }, node.Sent, nil
+	}
+	applied := func() (entries uint64, cpu time.Duration) {
+		for _, v := range c.Nodes {
+			if s, err := v.Fleet(); err == nil && s.Vote != nil {
+				entries = max(entries, s.Vote.Applied)
+			}
+			used, _ := usage(v.Process().PID())
+			cpu += used
+		}
+		return entries, cpu
+	}
+	each := make(chan began, 64)
+	stop, sent, err := run("long", 10*time.Second, make([]*gate, n), each)
+	if err != nil {
+		return err
+	}
+	select {
+	case <-each:
+	case <-ctx.Done():
+	}
+	e0, cpu0 := applied()
+	a0, s0, t0 := asked.Load(), sent(), time.Now()
+	select {
+	case <-time.After(30 * time.Second):
+	case <-ctx.Done():
+	}
+	e1, cpu1 := applied()
+	d := time.Since(t0).Seconds()
+	line := fmt.Sprintf("%7d %14.1f %17.1f %15.0f %11.1f%%", n, float64(asked.Load()-a0)/d, float64(e1-e0)/d, float64(sent()-s0)/d, 100*(cpu1-cpu0).Seconds()/d)
+	stop()
+	gates := make([]*gate, n)
+	if stop, _, err = run("short", 2*time.Second, gates, each); err != nil {
+		return err
+	}
+	defer stop()
+	times := hdrhistogram.New(1, 60_000, 3)
+	holder := <-each
+	for range min(10, n-1) {
+		select {
+		case <-time.After(time.Second):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		at := fleet.Clock()
+		gates[holder.member].dead.Store(true)
+		select {
+		case holder = <-each:
+		case <-time.After(30 * time.Second):
+			return fmt.Errorf("nobody took over within 30 s")
+		}
+		_ = times.RecordValue((holder.at - at).Milliseconds())
+	}
+	fmt.Printf("%s %13d ms %4d ms\n", line, times.ValueAtQuantile(50), times.Max())
+	return nil
+}
--- a/tools/measure/main.go
+++ b/tools/measure/main.go
@@ -9,6 +9,7 @@
 //	go run ./tools/measure overload  bursts and overloads on simulated time, five ways of admission
 //	go run ./tools/measure duties  seeded faults against fleets of processes: duties held twice, time without a holder
 //	go run ./tools/measure herd    what a control plane sees when it returns before 20 gateways: a subscription each, and one for all
+//	go run ./tools/measure quorum  traffic at the voters and time to take over for 10, 50 and 200 members
 //	go run ./tools/measure path    requests with a fleet and without one; a minute without a quorum
 //
 // Experiments on loopback are robindrum lab run --engine loopback.
@@ -77,12 +78,14 @@
 		err = duties(*schedules, *at, *first)
 	case "herd":
 		err = herd()
+	case "quorum":
+		err = quorumTraffic()
 	case "path":
 		err = path(min(*requests, 200000), min(*rounds, 20))
 	case "child": // what is measured
 		err = child(flag.Arg(1), flag.Args()[2:])
 	default:
-		err = errors.New("want proxy, push, flood, size, zone, zone-big, overload, duties, herd or path")
+		err = errors.New("want proxy, push, flood, size, zone, zone-big, overload, duties, herd, quorum or path")
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "measure:", err)
