--- a/cmd/robindrum/main.go
+++ b/cmd/robindrum/main.go
@@ -1,7 +1,8 @@
 // Robindrum is a load-balancing gateway: it takes a YAML file, serves several clusters behind its listeners, and follows
 // endpoints from the file, from files of resources, or from control planes that speak xDS.
 //
-// Exit codes: 0 all is well, 1 the command failed or its file cannot be used, 2 the command line cannot be used.
+// Exit codes: 0 all is well, 1 the command failed or its file cannot be used, 2 the command line cannot be used; of orders that
+// were waited for 3 where they are overdue and 4 where they were cancelled.
 package main
 
 import (
@@ -25,7 +26,7 @@
 		Args: noArgs, RunE: func(c *cobra.Command, _ []string) error { return c.Help() },
 		CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true}}
 	c.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return fmt.Errorf("%w: %w", err, errUsage) })
-	c.AddCommand(serveCommand(), checkCommand(), statusCommand(), tryCommand(), labCommand(), captureCommand(), planCommand(), fleetCommand(), witnessCommand(), versionCommand())
+	c.AddCommand(serveCommand(), checkCommand(), statusCommand(), tryCommand(), labCommand(), captureCommand(), planCommand(), fleetCommand(), witnessCommand(), drainCommand(), undrainCommand(), ordersCommand(), versionCommand())
 	return c
 }
 
@@ -61,8 +62,12 @@
 	case !errors.Is(err, errReported):
 		fmt.Fprintln(errs, "robindrum:", err)
 	}
-	if errors.Is(err, errUsage) {
+	var code exitCode
+	switch {
+	case errors.Is(err, errUsage):
 		return 2
+	case errors.As(err, &code):
+		return int(code)
 	}
 	return 1
 }
--- a/cmd/robindrum/serve.go
+++ b/cmd/robindrum/serve.go
@@ -169,9 +169,14 @@
 
 // ask asks an admin listener, and reads the answer into a writer, or as JSON into what out points to.
 func ask(c *cobra.Command, method, addr, path string, out any) error {
+	return send(c, method, addr, path, nil, out)
+}
+
+// send is ask with a body.
+func send(c *cobra.Command, method, addr, path string, in io.Reader, out any) error {
 	ctx, cancel := context.WithTimeout(c.Context(), 10*time.Second)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, nil)
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, in)
 	if err != nil {
 		return fmt.Errorf("%w: %w", err, errUsage)
 	}
--- a/internal/config/fleet.go
+++ b/internal/config/fleet.go
@@ -31,6 +31,20 @@
 	// Subscription: one to the control plane for all gateways of the site.
 	Subscription *Subscription `yaml:"subscription,omitempty"`
 	Posts        []Post        `yaml:"posts,omitempty"`
+	// Budgets bound what orders may take out at once. The voters' files count, and have to be alike.
+	Budgets []OutBudget `yaml:"budgets,omitempty"`
+}
+
+// OutBudget is how many gateways, or endpoints of a cluster, may be out at once, with those that are out by themselves. Most and
+// Part both count where both are set.
+type OutBudget struct {
+	Name    string  `yaml:"name"`
+	Cluster string  `yaml:"cluster,omitempty"` // endpoints of it, "*": of each; empty: gateways
+	Site    string  `yaml:"site,omitempty"`    // of one site
+	Zone    string  `yaml:"zone,omitempty"`    // of one zone
+	Each    string  `yaml:"each,omitempty"`    // zone or site: each by itself
+	Most    int     `yaml:"most,omitempty"`
+	Part    float64 `yaml:"part,omitempty"`
 }
 
 // Via is how one member is reached from here, by forwarding or a tunnel.
@@ -80,6 +94,9 @@
 	set(&f.Lease, Duration(10*time.Second))
 	set(&f.Quorum.Heartbeat, Duration(500*time.Millisecond))
 	set(&f.Quorum.MostBytes, 256<<20)
+	if f.Budgets == nil {
+		f.Budgets = []OutBudget{{Name: "gateways", Each: "site", Part: 0.34}, {Name: "endpoints", Cluster: "*", Each: "zone", Part: 0.34}}
+	}
 	if s := f.Subscription; s != nil {
 		set(&s.OwnAfter, Duration(5*time.Second))
 		set(&s.Spread, Duration(5*time.Second))
@@ -148,6 +165,19 @@
 		bound(d, "fleet.subscription.heartbeat", s.Heartbeat, 10*time.Millisecond, s.OwnAfter.D()/2)
 	}
 	names := map[string]bool{}
+	for i, b := range f.Budgets {
+		at := fmt.Sprintf("fleet.budgets[%d]", i)
+		text(at+".name", b.Name, true)
+		switch {
+		case names["budget "+b.Name]:
+			d.at(at+".name", "%q stands twice", b.Name)
+		case b.Most < 0 || b.Part < 0 || b.Part > 1 || b.Most == 0 && b.Part == 0:
+			d.at(at, "want most, a part from 0 to 1, or both")
+		case b.Each != "" && b.Each != "zone" && b.Each != "site" || b.Each == "site" && b.Cluster != "":
+			d.at(at+".each", "want zone, or site for gateways, not %q", b.Each)
+		}
+		names["budget "+b.Name] = true
+	}
 	for i, p := range f.Posts {
 		at := fmt.Sprintf("fleet.posts[%d]", i)
 		text(at+".name", p.Name, true)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -24,26 +24,31 @@
 	"arrowhitch/internal/duty"
 	"arrowhitch/internal/lease"
 	"arrowhitch/internal/members"
+	"arrowhitch/internal/order"
 	"arrowhitch/internal/peer"
 	"arrowhitch/internal/quorum"
 )
 
 // Fleet is one process's place. Its methods may be called by several goroutines at once.
 type Fleet struct {
-	conf   *config.Fleet
-	log    *slog.Logger
-	now    func() time.Duration
-	node   *peer.Node
-	list   *members.List
-	server *quorum.Server // nil: it does not vote
-	client *quorum.Client
-	runner *duty.Runner
-	duties []duty.Duty
-	noVote string // why a voter does not vote from its start on
-	post   *http.Client
-	life   context.Context
-	end    context.CancelFunc
-	work   sync.WaitGroup
+	conf    *config.Fleet
+	log     *slog.Logger
+	now     func() time.Duration
+	node    *peer.Node
+	list    *members.List
+	server  *quorum.Server // nil: it does not vote
+	client  *quorum.Client
+	runner  *duty.Runner
+	duties  []duty.Duty
+	noVote  string // why a voter does not vote from its start on
+	post    *http.Client
+	orders  orders
+	life    context.Context // of the duties
+	end     context.CancelFunc
+	work    sync.WaitGroup
+	voting  context.Context // of what a leader does
+	resign  context.CancelFunc
+	leading sync.WaitGroup
 }
 
 // Version is this program's.
@@ -69,7 +74,9 @@
 	}
 	now := Clock
 	f := &Fleet{conf: c, log: log, now: now, post: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: 30 * time.Second}}}
+	f.orders.f, f.orders.absent = f, map[string]time.Duration{}
 	f.life, f.end = context.WithCancel(context.Background())
+	f.voting, f.resign = context.WithCancel(context.Background())
 	var err error
 	if f.node, err = peer.Listen(peer.Options{Fleet: c.Name, Address: c.Address, Via: via, Log: log}); err != nil {
 		return nil, err
@@ -130,6 +137,7 @@
 	f.node.Serve()
 	if f.server != nil {
 		f.server.Start()
+		f.leading.Go(func() { f.orders.lead(f.voting) })
 	}
 	for _, d := range f.duties {
 		f.work.Go(func() { f.runner.Run(f.life, d) })
@@ -165,7 +173,9 @@
 // Stop ends the duties, gives their leases back, says that this process leaves, within so long, and ends.
 func (f *Fleet) Stop(within time.Duration) {
 	f.end()
+	f.resign()
 	f.work.Wait()
+	f.leading.Wait()
 	if f.list != nil {
 		f.list.Say(members.Leaving, f.list.Self().Config)
 		f.list.Stop(within)
@@ -273,7 +283,8 @@
 	return r.Err()
 }
 
-// Handler answers the operators: GET /fleet, GET /fleet/leases, POST /fleet/revoke?lease=NAME.
+// Handler answers the operators: GET /fleet, GET /fleet/leases, POST /fleet/revoke?lease=NAME, GET
+// /fleet/orders, POST /fleet/drain, undrain, halt and resume.
 func (f *Fleet) Handler() http.Handler {
 	mux := http.NewServeMux()
 	answer := func(w http.ResponseWriter, v any, err error) {
@@ -296,5 +307,22 @@
 		defer cancel()
 		answer(w, struct{}{}, f.Revoke(ctx, r.URL.Query().Get("lease")))
 	})
+	mux.HandleFunc("GET /fleet/orders", func(w http.ResponseWriter, r *http.Request) {
+		l, err := f.Orders(r.Context())
+		answer(w, l, err)
+	})
+	for path, op := range map[string]quorum.Op{"drain": quorum.Ask, "undrain": quorum.Cancel, "halt": quorum.Halt, "resume": quorum.Resume} {
+		mux.HandleFunc("POST /fleet/"+path, func(w http.ResponseWriter, r *http.Request) {
+			var o order.Order
+			if err := json.NewDecoder(io.LimitReader(r.Body, 64<<10)).Decode(&o); err != nil && (op == quorum.Ask || op == quorum.Cancel) {
+				http.Error(w, err.Error(), http.StatusBadRequest)
+				return
+			}
+			ctx, cancel := context.WithTimeout(r.Context(), 10*time.Second)
+			defer cancel()
+			x, err := f.order(ctx, op, &o)
+			answer(w, x, err)
+		})
+	}
 	return mux
 }
--- /dev/null
+++ b/internal/fleet/orders.go
@@ -0,0 +1,262 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"net/http"
+	"sync"
+	"time"
+
+	"arrowhitch/internal/members"
+	"arrowhitch/internal/order"
+	"arrowhitch/internal/peer"
+	"arrowhitch/internal/quorum"
+)
+
+const (
+	ordersPath = "/fleet/v1/orders"
+	// doubt is the part of the gateways that answer whose word makes an endpoint one that is not well.
+	doubt = 1.0 / 3
+	// mostRound is how many members are asked at once.
+	mostRound = 64
+)
+
+// Report is what a gateway says of itself, with a view of the orders taken over.
+type Report struct {
+	Version   uint64           `json:"version"`
+	Birth     uint64           `json:"birth"`
+	Serving   bool             `json:"serving"`
+	InHand    map[string]int   `json:"in_hand,omitempty"`   // by order: at this gateway, or of it at the endpoint
+	Endpoints []order.Endpoint `json:"endpoints,omitempty"` // those that are not well; with full all
+}
+
+// Agent is the gateway that takes orders. Ordered is called by one goroutine at a time, and each time with a view that is no
+// older than the one before.
+type Agent interface {
+	Ordered(v order.View, full bool) Report
+}
+
+// orders is a process's part in them: it takes what it is told, and tells the others while its voter leads.
+type orders struct {
+	f     *Fleet
+	agent Agent
+
+	mu    sync.Mutex
+	view  order.View
+	known time.Duration // when the view was confirmed last; 0: never
+
+	absent map[string]time.Duration // gateways that were there and are not, since when this voter knows; its leader's loop alone has it
+}
+
+// told is what the leader sends.
+type told struct {
+	View order.View `json:"view"`
+	Full bool       `json:"full"`
+}
+
+// Serve has the fleet's orders taken by a gateway. It is called before Start.
+func (f *Fleet) Serve(a Agent) {
+	f.orders.agent = a
+	f.node.Handle(ordersPath, 4<<20, func(_ context.Context, body []byte) (any, error) {
+		var t told
+		if err := json.Unmarshal(body, &t); err != nil {
+			return nil, &peer.Failure{Status: http.StatusBadRequest, Err: err}
+		}
+		return f.orders.take(t.View, t.Full), nil
+	})
+}
+
+// take takes a view over, unless a newer one is known, and says how the gateway stands.
+func (o *orders) take(v order.View, full bool) Report {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.view.Newer(&v) {
+		v = o.view
+	}
+	o.view, o.known = v, o.f.now()
+	r := o.agent.Ordered(v, full)
+	r.Birth = o.f.list.Self().Birth
+	return r
+}
+
+// AskOrders asks the voters what is ordered, within a time; false: nobody said.
+func (f *Fleet) AskOrders(ctx context.Context, within time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	for ctx.Err() == nil {
+		if l, err := f.client.Orders(ctx); err == nil && (l.Fresh || l.View.Term > 0) {
+			f.orders.take(l.View, false)
+			return true
+		}
+		t := time.NewTimer(f.conf.Quorum.Heartbeat.D() / 2)
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		}
+		t.Stop()
+	}
+	return false
+}
+
+// lead tells everyone what is ordered and has agreed on what they say, for as long as this voter leads.
+func (o *orders) lead(ctx context.Context) {
+	beat := o.f.conf.Quorum.Heartbeat.D()
+	tick := time.NewTicker(beat)
+	defer tick.Stop()
+	for idle := 0; ; {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		if !o.f.server.Leading() {
+			continue
+		}
+		// Where nothing is ordered looking now and then is enough.
+		if idle++; len(o.f.server.View().Out) > 0 || idle >= 4 {
+			idle = 0
+			if err := o.round(ctx); err != nil && ctx.Err() == nil {
+				o.f.log.Debug("a round of orders", "err", err)
+			}
+		}
+	}
+}
+
+// round is one.
+func (o *orders) round(ctx context.Context) error {
+	f, s := o.f, o.f.server
+	if err := s.Limit(f.budgets()); err != nil {
+		return err
+	}
+	view := s.View()
+	// Begun here, so that what is granted is taken out under the token that the quorum gave, and by nobody else.
+	for _, x := range view.Out {
+		if x.State == order.Granted {
+			if err := s.Begin(x); err != nil {
+				return err
+			}
+		}
+	}
+	view = s.View()
+	all := f.list.Members()
+	reports := make([]*Report, len(all))
+	var work sync.WaitGroup
+	room := make(chan struct{}, mostRound)
+	sites := map[string]bool{}
+	for i, m := range all {
+		if m.State == members.Witness || m.State == members.Dead || m.State == members.Gone {
+			continue
+		}
+		full := !sites[m.Site]
+		sites[m.Site] = true
+		room <- struct{}{}
+		work.Go(func() {
+			defer func() { <-room }()
+			one, cancel := context.WithTimeout(ctx, 2*f.conf.Quorum.Heartbeat.D())
+			defer cancel()
+			var r Report
+			if f.node.Call(one, m.Address, ordersPath, told{view, full}, &r) == nil && r.Version >= view.Version {
+				reports[i] = &r
+			}
+		})
+	}
+	work.Wait()
+	seen := &quorum.Seen{Version: view.Version}
+	names, bad, answered := map[[2]string]order.Endpoint{}, map[[2]string]int{}, 0
+	inHand, heard := map[string]int{}, map[string]int{}
+	for i, m := range all {
+		if m.State == members.Witness || m.State == members.Gone {
+			continue
+		}
+		g := order.Gateway{Name: m.Name, Site: m.Site, Zone: m.Zone, Birth: m.Birth}
+		if r := reports[i]; r != nil {
+			answered++
+			g.Birth, g.Serving = r.Birth, r.Serving
+			for id, n := range r.InHand {
+				inHand[id] += n
+				heard[id]++
+			}
+			for _, e := range r.Endpoints {
+				k := [2]string{e.Cluster, e.Address}
+				if !e.Well {
+					bad[k]++
+				}
+				e.Well = true
+				names[k] = e
+			}
+		}
+		seen.Gateways = append(seen.Gateways, g)
+	}
+	// One that has left is missing all the same, until it is back or forgotten.
+	there := map[string]bool{}
+	for _, g := range seen.Gateways {
+		there[g.Name] = true
+		delete(o.absent, g.Name)
+	}
+	for _, g := range s.Known() {
+		since, known := o.absent[g.Name]
+		if !known {
+			since = f.now()
+		}
+		if there[g.Name] || f.now()-since >= f.conf.Forget.D() {
+			continue
+		}
+		o.absent[g.Name] = since
+		g.Serving = false
+		seen.Gateways = append(seen.Gateways, g)
+	}
+	maps.DeleteFunc(o.absent, func(_ string, since time.Duration) bool { return f.now()-since >= 2*f.conf.Forget.D() })
+	for k, e := range names {
+		e.Well = float64(bad[k]) < max(doubt*float64(answered), 1)
+		seen.Endpoints = append(seen.Endpoints, e)
+	}
+	if answered == 0 {
+		return nil
+	}
+	if err := s.See(seen); err != nil {
+		return err
+	}
+	alive := 0
+	for _, m := range all {
+		if m.State != members.Dead && m.State != members.Witness && m.State != members.Gone {
+			alive++
+		}
+	}
+	for _, x := range view.Out {
+		// A gateway says itself; of an endpoint every gateway that is not known to be dead has to say.
+		n, ok := inHand[x.ID]
+		if !x.State.Out() || !ok || x.Target.Gateway == "" && heard[x.ID] < alive || x.State == order.Done && n == 0 {
+			continue
+		}
+		if err := s.Progress(x, n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Orders asks the quorum for all orders.
+func (f *Fleet) Orders(ctx context.Context) (quorum.Orders, error) { return f.client.Orders(ctx) }
+
+// order has the quorum do something about one.
+func (f *Fleet) order(ctx context.Context, op quorum.Op, o *order.Order) (order.Order, error) {
+	r, _, err := f.client.Do(ctx, quorum.Command{Op: op, Order: o})
+	if err == nil {
+		err = r.Err()
+	}
+	if r.Order != nil {
+		return *r.Order, err
+	}
+	return order.Order{}, err
+}
+
+// budgets are the file's, or what is taken where it has none.
+func (f *Fleet) budgets() []order.Budget {
+	var l []order.Budget
+	for _, b := range f.conf.Budgets {
+		s := order.Scope{Gateways: b.Cluster == "", Cluster: b.Cluster, Site: b.Site, Zone: b.Zone, EachZone: b.Each == "zone", EachSite: b.Each == "site"}
+		l = append(l, order.Budget{Name: b.Name, Scope: s, Most: b.Most, Part: b.Part})
+	}
+	return l
+}
--- a/internal/gateway/cluster.go
+++ b/internal/gateway/cluster.go
@@ -444,6 +444,12 @@
 
 // tell hands a source's word to a cluster's cores.
 func (g *Gateway) tell(c *cluster, w membership.Word) {
+	if held := g.held[c.name]; len(held) > 0 {
+		w.Endpoints = slices.Clone(w.Endpoints)
+		for i := range w.Endpoints {
+			w.Endpoints[i].Held = held[w.Endpoints[i].Address]
+		}
+	}
 	u := c.view.Take(g.Now(), w)
 	if u == nil {
 		return
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -24,6 +24,7 @@
 		return err
 	}
 	g.fleet = fl
+	fl.Serve(g)
 	if f.Fleet.Subscription == nil {
 		return nil
 	}
@@ -72,7 +73,14 @@
 			return
 		}
 		s := members.Joining
-		if g.Ready() {
+		g.mu.Lock()
+		drained := g.drain != nil
+		g.refuses.Store(drained && g.Now()-g.drainAt >= g.drain.Notice)
+		g.mu.Unlock()
+		switch {
+		case drained:
+			s = members.Draining
+		case g.Ready():
 			s = members.Serving
 		}
 		if f != g.told {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"arrowhitch/internal/fleet"
 	"arrowhitch/internal/limit"
 	"arrowhitch/internal/node"
+	"arrowhitch/internal/order"
 	"arrowhitch/internal/route"
 	"arrowhitch/internal/xds"
 	"arrowhitch/logic"
@@ -68,6 +69,12 @@
 	limits    []*rateLimit
 	pending   *pending
 	stopping  bool
+	held      map[string]map[string]bool // endpoints that orders have taken out, by cluster
+	drain     *order.Order               // that has taken this gateway out; nil: none
+	drainAt   time.Duration              // when it was heard of
+	ordered   bool                       // it is known what is ordered, or it was waited for long enough
+
+	refuses atomic.Bool // nothing new is taken, by an order
 }
 
 type listener struct {
@@ -119,6 +126,7 @@
 	if g.fleet != nil {
 		g.fleet.Start()
 		g.work.Go(g.tellFleet)
+		g.work.Go(g.awaitOrders)
 	}
 	return g, nil
 }
@@ -260,6 +268,9 @@
 
 // Route finds where a request goes.
 func (g *Gateway) Route(r *http.Request, from node.Peer) node.Destination {
+	if g.refuses.Load() {
+		return node.Destination{Status: http.StatusServiceUnavailable, Text: "this gateway is taken out of service", Wait: time.Second, Close: true}
+	}
 	t := g.routes.Load()
 	path := r.URL.EscapedPath()
 	if climbs(path) {
@@ -449,7 +460,7 @@
 func (g *Gateway) Ready() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.stopping {
+	if g.stopping || g.drain != nil || g.fleet != nil && !g.ordered {
 		return false
 	}
 	r := g.routes.Load()
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -41,6 +41,8 @@
 	Weight   float64 // above 0; 1 is usual
 	Priority int     // of several, only those of the lowest that has anyone ready are used
 	Health   Health
+	// Held: taken out by an order of the fleet. It gets nothing new, and is taken as started anew when it is back.
+	Held bool
 }
 
 // identity is what makes an endpoint another one though its address stays.
@@ -85,7 +87,7 @@
 	servers := make(map[string]*Server, len(w.Endpoints))
 	for _, e := range w.Endpoints {
 		s := &Server{Endpoint: e}
-		if old := v.servers[e.Address]; old != nil && old.identity() == e.identity() {
+		if old := v.servers[e.Address]; old != nil && old.identity() == e.identity() && (!old.Held || e.Held) {
 			s.Since = old.Since
 		} else if !first {
 			s.Since = now
@@ -133,15 +135,18 @@
 	}
 }
 
+// held is why an endpoint is out by an order.
+const held = "drained by an order of the fleet"
+
 // choose says which endpoints are used.
 func (v *View) choose() {
-	ready := func(s *Server) bool { return s.Health == Unknown || s.Health == Healthy }
+	ready := func(s *Server) bool { return !s.Held && (s.Health == Unknown || s.Health == Healthy) }
 	best, healthy, found := 0, false, false
 	fine := map[int]bool{} // priorities with a healthy one
 	for _, s := range v.servers {
 		ok := ready(s)
 		fine[s.Priority] = fine[s.Priority] || ok
-		if !ok && s.Health != Degraded {
+		if !ok && (s.Held || s.Health != Degraded) {
 			continue
 		}
 		// The lowest priority with anyone to use; in it the healthy, and the degraded where there are none.
@@ -154,6 +159,8 @@
 		switch {
 		case v.word.Stale != "":
 			s.Out = v.word.Stale
+		case s.Held:
+			s.Out = held
 		case !ready(s) && s.Health != Degraded:
 			s.Out = s.Health.String()
 		case s.Priority != best && !v.Tiers:
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -286,7 +286,7 @@
 }
 
 func (x *exchange) Begin(status int, h http.Header, length int64) io.Writer {
-	x.stream = x.c.begin(status, h, length, x.wantsClose || x.c.front.stopping.Load())
+	x.stream = x.c.begin(status, h, length, x.wantsClose || x.c.front.stopping.Load() || x.c.front.closing.Load())
 	return x.stream
 }
 
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -270,6 +270,13 @@
 	fn(n.now())
 }
 
+// Endpoints tells of each server of the last list how many attempts are out at it, and whether it is ejected.
+func (n *Core) Endpoints(fn func(id string, inFlight int, ejected bool)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.bal.Each(n.now(), fn)
+}
+
 // InHand is how many requests have no answer yet.
 func (n *Core) InHand() int {
 	n.mu.Lock()
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -45,7 +45,7 @@
 	conns   *conns
 	bodies  bodyBudget
 
-	stopping, ending atomic.Bool
+	stopping, ending, closing atomic.Bool
 }
 
 // FrontOptions bound a front.
@@ -69,9 +69,12 @@
 }
 
 func (f *Front) last(wantsClose bool) bool {
-	return wantsClose || f.stopping.Load() || f.conns.crowded()
+	return wantsClose || f.stopping.Load() || f.closing.Load() || f.conns.crowded()
 }
 
+// Closing has each connection end behind its next answer, or go on again.
+func (f *Front) Closing(on bool) { f.closing.Store(on) }
+
 // Stopping tells whether Stop was called.
 func (f *Front) Stopping() bool { return f.stopping.Load() }
 
--- /dev/null
+++ b/internal/order/order.go
@@ -0,0 +1,639 @@
+// Package order holds what operators and releases have asked a fleet to take out of service, and decides when that may be: the
+// state machine that the quorum applies beside its leases. It has no clock, no I/O and no goroutine; times are readings of the
+// leader's clock, as in package lease.
+//
+// One rule stands over all: **what is missing counts as out**, whoever caused it. A budget says how many may be out; an order is
+// granted a slot before anything is taken out, and gives it back only when its target has been seen in service again. Bringing
+// something back needs no slot and no majority.
+package order
+
+import (
+	"cmp"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Bounds: texts come from outside, and the book is in every snapshot.
+const (
+	mostOrders    = 1024 // that have not ended, and of those that have as many
+	mostBudgets   = 64
+	mostGateways  = 4096
+	mostEndpoints = 20_000
+	mostText      = 256 // bytes of an id, owner or reason
+	// MostGrace bounds how long what is in hand is waited for.
+	MostGrace = time.Hour
+	// keepEnded is how long an order that has ended can be asked for.
+	keepEnded = 24 * time.Hour
+)
+
+// Target is what an order is about. One of Gateway and Endpoint is set.
+type Target struct {
+	Gateway  string `json:"gateway,omitempty"`  // a member's name
+	Cluster  string `json:"cluster,omitempty"`  // with Endpoint
+	Endpoint string `json:"endpoint,omitempty"` // address
+}
+
+func (t Target) String() string {
+	if t.Gateway != "" {
+		return "gateway " + t.Gateway
+	}
+	return "endpoint " + t.Cluster + "/" + t.Endpoint
+}
+
+// State is where an order stands.
+type State string
+
+// An order goes from asked to granted to under way to done, or to overdue and then done; to cancelled from anywhere before it has
+// ended, and to refused at once.
+const (
+	Asked     State = "asked"     // waits for a slot
+	Granted   State = "granted"   // has a slot; nothing was taken out yet
+	UnderWay  State = "under way" // its target gets nothing new
+	Done      State = "done"      // its target has nothing in hand
+	Overdue   State = "overdue"   // its time is over, and it had something in hand
+	Cancelled State = "cancelled" // its target may serve; the slot is held until it does
+	Ended     State = "ended"     // its target has been seen in service again, or is not there any more
+	Refused   State = "refused"
+)
+
+// holds tells whether an order in this state has a slot.
+func (s State) holds() bool {
+	return s == Granted || s == UnderWay || s == Done || s == Overdue || s == Cancelled
+}
+
+// Out tells whether an order in this state keeps its target from serving.
+func (s State) Out() bool { return s == UnderWay || s == Done || s == Overdue }
+
+// Order is one.
+type Order struct {
+	ID     string `json:"id"` // the asker's: the same one asked for again is the same order
+	Target Target `json:"target"`
+	Owner  string `json:"owner"`
+	Reason string `json:"reason,omitempty"`
+	// Grace is how long what the target has in hand is waited for. A gateway still takes what comes for the first part of it,
+	// Notice, with its readiness off, so that those before it can turn away.
+	Grace  time.Duration `json:"grace"`
+	Notice time.Duration `json:"notice,omitempty"`
+
+	State State  `json:"state"`
+	Why   string `json:"why,omitempty"` // of refused, and of asked: what it waits for
+	// Token is higher than that of each order granted before it. Who takes the target out shows it.
+	Token  uint64        `json:"token,omitempty"`
+	Since  time.Duration `json:"since"` // of State
+	Until  time.Duration `json:"until,omitempty"`
+	InHand int           `json:"in_hand,omitempty"` // as the target said last
+	Seq    uint64        `json:"seq"`               // orders in the order in which they were asked for
+	At     uint64        `json:"at"`                // the book's version at the last change of State
+}
+
+// Scope is what a budget counts.
+type Scope struct {
+	// Gateways of all sites, or of one; a site's by zone, or of one zone.
+	Gateways bool   `json:"gateways,omitempty"`
+	Site     string `json:"site,omitempty"`
+	// Cluster's endpoints: "*" is each cluster by itself.
+	Cluster string `json:"cluster,omitempty"`
+	Zone    string `json:"zone,omitempty"`
+	// Each zone by itself.
+	EachZone bool `json:"each_zone,omitempty"`
+	EachSite bool `json:"each_site,omitempty"`
+}
+
+// Budget bounds how many of a scope may be out. Both bounds count where both are set; a part is rounded down, and at least one
+// may be out where a part alone is set and there are more than one.
+type Budget struct {
+	Name  string  `json:"name"`
+	Scope Scope   `json:"scope"`
+	Most  int     `json:"most,omitempty"`
+	Part  float64 `json:"part,omitempty"`
+}
+
+func (b *Budget) bound(of int) int {
+	n := of
+	if b.Most > 0 {
+		n = min(n, b.Most)
+	}
+	if b.Part > 0 {
+		p := int(b.Part * float64(of))
+		if p == 0 && of > 1 && b.Most == 0 {
+			p = 1
+		}
+		n = min(n, p)
+	}
+	return n
+}
+
+// Gateway is what the fleet knows of one.
+type Gateway struct {
+	Name    string `json:"name"`
+	Site    string `json:"site,omitempty"`
+	Zone    string `json:"zone,omitempty"`
+	Birth   uint64 `json:"birth"`
+	Serving bool   `json:"serving"`
+}
+
+// Endpoint is what the fleet's gateways know of one.
+type Endpoint struct {
+	Cluster string `json:"cluster"`
+	Address string `json:"address"`
+	Zone    string `json:"zone,omitempty"`
+	// Well: enough gateways have it in use, warm and not ejected.
+	Well bool `json:"well"`
+}
+
+// Book is all orders with what they are judged by. A Book is for one goroutine at a time; the same calls give the same book.
+type Book struct {
+	Version   uint64              `json:"version"` // rises with each change that others are to know of
+	Last      uint64              `json:"last_token"`
+	Seq       uint64              `json:"seq"`
+	Now       time.Duration       `json:"now"`
+	Orders    map[string]*Order   `json:"orders"`
+	Budgets   []Budget            `json:"budgets"`
+	Gateways  map[string]Gateway  `json:"gateways"`
+	Endpoints map[string]Endpoint `json:"endpoints"`
+	Halted    bool                `json:"halted,omitempty"` // nothing new is granted
+	// Seen is the version that everyone who was asked had taken over when it said what Gateways and Endpoints have.
+	Seen uint64 `json:"seen"`
+}
+
+// NewBook makes an empty one.
+func NewBook() *Book {
+	return &Book{Orders: map[string]*Order{}, Gateways: map[string]Gateway{}, Endpoints: map[string]Endpoint{}}
+}
+
+// Restore reads a book as encoding/json wrote it. One that no calls can have made is an error.
+func Restore(text []byte) (*Book, error) {
+	b := NewBook()
+	if err := json.Unmarshal(text, b); err != nil {
+		return nil, fmt.Errorf("orders: %w", err)
+	}
+	if b.Orders == nil || b.Gateways == nil || b.Endpoints == nil || len(b.Orders) > 2*mostOrders || len(b.Budgets) > mostBudgets || b.Last == math.MaxUint64 ||
+		b.Seq == math.MaxUint64 || b.Version == math.MaxUint64 {
+		return nil, errors.New("orders: not a book")
+	}
+	for id, o := range b.Orders {
+		if o == nil || o.ID != id || o.Token > b.Last || o.Seq > b.Seq {
+			return nil, fmt.Errorf("orders: %q is no order", id)
+		}
+	}
+	return b, nil
+}
+
+// What an asker may be told.
+var (
+	ErrOther = errors.New("another order has this id")
+	ErrNone  = errors.New("there is no such order")
+	ErrFull  = errors.New("there are too many orders")
+	ErrState = errors.New("the order is not in a state for this")
+)
+
+// Lead begins a term of another leader, whose clock has nothing to do with the one before: times count from now on.
+func (b *Book) Lead(now time.Duration) {
+	shift := now - b.Now
+	b.Now = now
+	for _, o := range b.Orders {
+		o.Since += shift
+		if o.Until > 0 {
+			o.Until += shift
+		}
+	}
+}
+
+func (b *Book) at(now time.Duration) { b.Now = max(b.Now, now) }
+
+func (b *Book) set(o *Order, s State, why string) {
+	if o.State != s {
+		o.Since = b.Now
+		b.Version++
+		o.At = b.Version
+	}
+	o.State, o.Why = s, why
+}
+
+// Ask asks for an order. Asked once more with the same id it is the same one, in whatever state it is; with another target it is an
+// error.
+func (b *Book) Ask(now time.Duration, o Order) (Order, error) {
+	b.at(now)
+	if old := b.Orders[o.ID]; old != nil {
+		if old.Target != o.Target {
+			return *old, ErrOther
+		}
+		b.settle()
+		return *old, nil
+	}
+	if err := b.check(&o); err != nil {
+		return o, err
+	}
+	b.Seq++
+	x := &Order{ID: o.ID, Target: o.Target, Owner: o.Owner, Reason: o.Reason, Grace: o.Grace, Notice: o.Notice, Seq: b.Seq}
+	b.Orders[o.ID] = x
+	if why := b.never(x); why != "" {
+		b.set(x, Refused, why)
+		return *x, nil
+	}
+	b.set(x, Asked, "")
+	b.settle()
+	return *x, nil
+}
+
+func (b *Book) check(o *Order) error {
+	for field, s := range map[string]string{"id": o.ID, "owner": o.Owner, "reason": o.Reason, "gateway": o.Target.Gateway, "cluster": o.Target.Cluster, "endpoint": o.Target.Endpoint} {
+		if len(s) > mostText {
+			return fmt.Errorf("%s: %d bytes, %d at most", field, len(s), mostText)
+		}
+	}
+	switch {
+	case o.ID == "":
+		return errors.New("id: is missing")
+	case (o.Target.Gateway == "") == (o.Target.Endpoint == ""):
+		return errors.New("target: want a gateway or an endpoint")
+	case strings.ContainsAny(o.Target.Gateway+o.Target.Endpoint+o.Target.Cluster, "*?"):
+		return errors.New("target: patterns are not taken: name each")
+	case o.Grace <= 0:
+		return fmt.Errorf("grace: %v is in the past", o.Grace)
+	case o.Notice < 0 || o.Notice > o.Grace:
+		return fmt.Errorf("notice: %v, want 0 to the grace of %v", o.Notice, o.Grace)
+	case o.Grace > MostGrace:
+		return fmt.Errorf("grace: %v, %v at most", o.Grace, MostGrace)
+	}
+	n := 0
+	for _, x := range b.Orders {
+		if x.State != Ended && x.State != Refused {
+			n++
+		}
+	}
+	if n >= mostOrders {
+		return ErrFull
+	}
+	return nil
+}
+
+// never says why an order cannot ever be granted as the fleet is; empty: it can.
+func (b *Book) never(o *Order) string {
+	if !b.known(o.Target) && len(b.Gateways) > 0 { // else nobody has looked yet
+		return "nobody knows of " + o.Target.String()
+	}
+	for _, c := range b.counts(o.Target) {
+		if c.bound == 0 {
+			return fmt.Sprintf("budget %s allows none of %d to be out", c.name, c.of)
+		}
+	}
+	return ""
+}
+
+func (b *Book) known(t Target) (ok bool) {
+	if t.Gateway != "" {
+		_, ok = b.Gateways[t.Gateway]
+	} else {
+		_, ok = b.Endpoints[t.key()]
+	}
+	return ok
+}
+
+// count is one budget as it stands for a target.
+type count struct {
+	name      string
+	of, bound int
+	out       map[string]bool // with what orders hold
+}
+
+// counts gives the budgets that a target falls under.
+func (b *Book) counts(t Target) (l []count) {
+	for i := range b.Budgets {
+		g := &b.Budgets[i]
+		s := &g.Scope
+		c := count{name: g.Name, out: map[string]bool{}}
+		if t.Gateway != "" {
+			me, known := b.Gateways[t.Gateway]
+			if !s.Gateways || !known || s.Site != "" && s.Site != me.Site || s.Zone != "" && s.Zone != me.Zone {
+				continue
+			}
+			for name, x := range b.Gateways {
+				if s.Site != "" && x.Site != s.Site || s.Zone != "" && x.Zone != s.Zone || s.EachSite && x.Site != me.Site || s.EachZone && (x.Zone != me.Zone || x.Site != me.Site) {
+					continue
+				}
+				if c.of++; !x.Serving || b.held(Target{Gateway: name}) {
+					c.out[name] = true
+				}
+			}
+		} else {
+			me, known := b.Endpoints[t.Cluster+"/"+t.Endpoint]
+			if s.Cluster == "" || !known || s.Cluster != "*" && s.Cluster != t.Cluster || s.Zone != "" && s.Zone != me.Zone {
+				continue
+			}
+			for key, x := range b.Endpoints {
+				if x.Cluster != t.Cluster || s.Zone != "" && x.Zone != s.Zone || s.EachZone && x.Zone != me.Zone {
+					continue
+				}
+				if c.of++; !x.Well || b.held(Target{Cluster: x.Cluster, Endpoint: x.Address}) {
+					c.out[key] = true
+				}
+			}
+		}
+		c.bound = g.bound(c.of)
+		l = append(l, c)
+	}
+	return l
+}
+
+// held tells whether an order has a slot for a target.
+func (b *Book) held(t Target) bool {
+	for _, o := range b.Orders {
+		if o.Target == t && o.State.holds() {
+			return true
+		}
+	}
+	return false
+}
+
+func (t Target) key() string {
+	if t.Gateway != "" {
+		return t.Gateway
+	}
+	return t.Cluster + "/" + t.Endpoint
+}
+
+// room says why a target may not be taken out now; empty: it may. What is out already takes no more room.
+func (b *Book) room(t Target) string {
+	if !b.known(t) {
+		return "nobody knows of " + t.String()
+	}
+	for _, c := range b.counts(t) {
+		if n := len(c.out); !c.out[t.key()] && n >= c.bound || n > c.bound {
+			return fmt.Sprintf("budget %s: %d of %d are out, %d may be (%s)", c.name, n, c.of, c.bound, some(c.out))
+		}
+	}
+	return ""
+}
+
+// some names a few.
+func some(m map[string]bool) string {
+	l := slices.Sorted(maps.Keys(m))
+	if len(l) > 5 {
+		return strings.Join(l[:5], ", ") + ", ..."
+	}
+	return strings.Join(l, ", ")
+}
+
+// settle grants what may be granted, in the order in which it was asked for, takes back what was granted and not begun where
+// something was lost meanwhile, and ends what has come back.
+func (b *Book) settle() {
+	all := slices.SortedFunc(maps.Values(b.Orders), func(x, y *Order) int { return cmp.Compare(x.Seq, y.Seq) })
+	for _, o := range all {
+		switch {
+		case o.State.Out() && o.State != Done && o.State != Overdue && o.Until > 0 && b.Now >= o.Until:
+			b.set(o, Overdue, "")
+		case o.State == Cancelled && b.Seen >= o.At && b.well(o.Target) && !b.other(o):
+			b.set(o, Ended, "")
+		case (o.State == Ended || o.State == Refused) && b.Now-o.Since > keepEnded:
+			delete(b.Orders, o.ID)
+		}
+	}
+	// The latest granted goes first. Danger: taken back one by one, as each may be enough.
+	for i := len(all) - 1; i >= 0; i-- {
+		if o := all[i]; o.State == Granted {
+			if why := b.room(o.Target); why != "" {
+				b.set(o, Asked, "taken back: "+why)
+			}
+		}
+	}
+	for _, o := range all {
+		if o.State != Asked {
+			continue
+		}
+		why := b.room(o.Target)
+		if b.Halted {
+			why = "halted: nothing new is taken out"
+		}
+		if why != "" {
+			o.Why = why
+			continue
+		}
+		b.Last++
+		o.Token = b.Last
+		b.set(o, Granted, "")
+	}
+	b.trim(all)
+}
+
+// trim forgets the oldest that have ended.
+func (b *Book) trim(all []*Order) {
+	n := 0
+	for i := len(all) - 1; i >= 0; i-- {
+		if o := all[i]; o.State == Ended || o.State == Refused {
+			if n++; n > mostOrders {
+				delete(b.Orders, o.ID)
+			}
+		}
+	}
+}
+
+// well tells whether a target is in service, or is not there any more.
+func (b *Book) well(t Target) bool {
+	if t.Gateway != "" {
+		x, ok := b.Gateways[t.Gateway]
+		return !ok || x.Serving
+	}
+	x, ok := b.Endpoints[t.key()]
+	return !ok || x.Well
+}
+
+// other tells whether another order keeps the same target out.
+func (b *Book) other(o *Order) bool {
+	for _, x := range b.Orders {
+		if x != o && x.Target == o.Target && x.State.Out() {
+			return true
+		}
+	}
+	return false
+}
+
+// Begin is that the target's taking out begins, under the token that it was granted with. It is the last moment at which a slot can
+// still be taken back.
+func (b *Book) Begin(now time.Duration, id string, token uint64) (Order, error) {
+	b.at(now)
+	b.settle()
+	o := b.Orders[id]
+	switch {
+	case o == nil:
+		return Order{}, ErrNone
+	case o.Token != token:
+		return *o, fmt.Errorf("%w: its token is %d, not %d", ErrState, o.Token, token)
+	case o.State.Out(): // said once more
+		return *o, nil
+	case o.State != Granted:
+		return *o, fmt.Errorf("%w: it is %s", ErrState, o.State)
+	}
+	o.Until = b.Now + o.Grace
+	b.set(o, UnderWay, "")
+	return *o, nil
+}
+
+// Progress is what a target under way has in hand; none: it is done.
+func (b *Book) Progress(now time.Duration, id string, token uint64, inHand int) (Order, error) {
+	b.at(now)
+	b.settle()
+	o := b.Orders[id]
+	switch {
+	case o == nil:
+		return Order{}, ErrNone
+	case o.Token != token || !o.State.Out():
+		return *o, fmt.Errorf("%w: it is %s under token %d", ErrState, o.State, o.Token)
+	}
+	o.InHand = max(inHand, 0)
+	if o.InHand == 0 {
+		b.set(o, Done, "")
+	}
+	return *o, nil
+}
+
+// Cancel brings a target back, or drops what was not begun. It needs no slot. Cancelled once more, nothing changes.
+func (b *Book) Cancel(now time.Duration, id string) (Order, error) {
+	b.at(now)
+	o := b.Orders[id]
+	if o == nil {
+		return Order{}, ErrNone
+	}
+	switch {
+	case o.State == Asked || o.State == Granted:
+		b.set(o, Ended, "cancelled before it began")
+	case o.State.Out():
+		b.set(o, Cancelled, "")
+	}
+	b.settle()
+	return *o, nil
+}
+
+// Halt has nothing new granted until it is lifted. What is out stays, what comes back comes back.
+func (b *Book) Halt(now time.Duration, on bool) {
+	b.at(now)
+	if b.Halted != on {
+		b.Halted = on
+		b.Version++
+	}
+	b.settle()
+}
+
+// Limit sets the budgets. One lowered under what is out brings nothing back by itself, and grants nothing new.
+func (b *Book) Limit(now time.Duration, l []Budget) error {
+	b.at(now)
+	if len(l) > mostBudgets {
+		return fmt.Errorf("%d budgets, %d at most", len(l), mostBudgets)
+	}
+	for _, g := range l {
+		switch {
+		case g.Name == "" || len(g.Name) > mostText:
+			return errors.New("a budget without a name")
+		case g.Scope.Gateways == (g.Scope.Cluster != ""):
+			return fmt.Errorf("budget %s: it counts gateways, or the endpoints of a cluster", g.Name)
+		case g.Most < 0 || g.Part < 0 || g.Part > 1 || g.Part != g.Part || g.Most == 0 && g.Part == 0:
+			return fmt.Errorf("budget %s: want a number, a part from 0 to 1, or both", g.Name)
+		}
+	}
+	b.Budgets = slices.Clone(l)
+	b.settle()
+	return nil
+}
+
+// See takes what the fleet knows of its gateways and endpoints: all of them, as each said when it had taken over the view of a
+// version; who does not answer is not serving. A gateway that was killed while it was out, and runs again, is still out: its order
+// goes on. Danger: an order that is cancelled must not end by what was seen before.
+func (b *Book) See(now time.Duration, version uint64, gateways []Gateway, endpoints []Endpoint) error {
+	b.at(now)
+	b.Seen = max(b.Seen, min(version, b.Version))
+	if len(gateways) > mostGateways || len(endpoints) > mostEndpoints {
+		return fmt.Errorf("%d gateways and %d endpoints, %d and %d at most", len(gateways), len(endpoints), mostGateways, mostEndpoints)
+	}
+	clear(b.Gateways)
+	for _, g := range gateways {
+		b.Gateways[g.Name] = g
+	}
+	clear(b.Endpoints)
+	for _, e := range endpoints {
+		b.Endpoints[e.Cluster+"/"+e.Address] = e
+	}
+	b.settle()
+	return nil
+}
+
+// View is what each gateway is to know: what is out, and since which version.
+type View struct {
+	Term    uint64  `json:"term"`
+	Version uint64  `json:"version"`
+	Out     []Order `json:"out"` // granted, or out
+}
+
+// View gives it.
+func (b *Book) View(term uint64) View {
+	v := View{Term: term, Version: b.Version}
+	for _, o := range b.Orders {
+		if o.State.Out() || o.State == Granted {
+			v.Out = append(v.Out, *o)
+		}
+	}
+	slices.SortFunc(v.Out, func(x, y Order) int { return cmp.Compare(x.Seq, y.Seq) })
+	return v
+}
+
+// Newer tells whether a view is of a later state than another one.
+func (v *View) Newer(o *View) bool {
+	return v.Version > o.Version || v.Version == o.Version && v.Term > o.Term
+}
+
+// List gives all orders, in the order in which they were asked for.
+func (b *Book) List() []Order {
+	l := make([]Order, 0, len(b.Orders))
+	for _, o := range b.Orders {
+		l = append(l, *o)
+	}
+	slices.SortFunc(l, func(x, y Order) int { return cmp.Compare(x.Seq, y.Seq) })
+	return l
+}
+
+// Standing is a budget as it stands.
+type Standing struct {
+	Name  string   `json:"name"`
+	Scope string   `json:"scope"`
+	Of    int      `json:"of"`
+	Bound int      `json:"bound"`
+	Out   []string `json:"out"`
+}
+
+// Standings gives each budget as it stands, for each zone, site or cluster that it counts by itself.
+func (b *Book) Standings() (l []Standing) {
+	seen := map[string]bool{}
+	note := func(t Target, site, zone string) {
+		for _, c := range b.counts(t) {
+			g := b.Budgets[slices.IndexFunc(b.Budgets, func(g Budget) bool { return g.Name == c.name })]
+			scope := ""
+			if g.Scope.Cluster != "" {
+				scope = "cluster " + t.Cluster
+			}
+			if g.Scope.EachSite || g.Scope.Site != "" || g.Scope.EachZone && t.Gateway != "" {
+				scope += " site " + site
+			}
+			if g.Scope.EachZone || g.Scope.Zone != "" {
+				scope += " zone " + zone
+			}
+			scope = strings.TrimSpace(cmp.Or(scope, "all"))
+			if k := c.name + "\x00" + scope; !seen[k] {
+				seen[k] = true
+				l = append(l, Standing{c.name, scope, c.of, c.bound, slices.Sorted(maps.Keys(c.out))})
+			}
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(b.Gateways)) {
+		note(Target{Gateway: name}, b.Gateways[name].Site, b.Gateways[name].Zone)
+	}
+	for _, key := range slices.Sorted(maps.Keys(b.Endpoints)) {
+		e := b.Endpoints[key]
+		note(Target{Cluster: e.Cluster, Endpoint: e.Address}, "", e.Zone)
+	}
+	return l
+}
--- a/internal/quorum/quorum.go
+++ b/internal/quorum/quorum.go
@@ -29,6 +29,7 @@
 	raftboltdb "github.com/hashicorp/raft-boltdb/v2"
 	"go.etcd.io/bbolt"
 
+	"arrowhitch/internal/order"
 	"arrowhitch/internal/peer"
 )
 
@@ -119,6 +120,7 @@
 	}
 	n.Handle("/fleet/v1/quorum", 64<<10, s.command)
 	n.Handle("/fleet/v1/leases", 1<<10, s.leases)
+	n.Handle("/fleet/v1/book", 1<<10, s.orders)
 	n.Handle("/fleet/v1/voter", 1<<10, func(context.Context, []byte) (any, error) { return s.Status(), nil })
 	return s, nil
 }
@@ -432,7 +434,7 @@
 		return nil, &peer.Failure{Status: http.StatusBadRequest, Err: err}
 	}
 	switch c.Op {
-	case Acquire, Renew, Release, Revoke, Forget:
+	case Acquire, Renew, Release, Revoke, Forget, Ask, Cancel, Halt, Resume:
 	default:
 		return nil, &peer.Failure{Status: http.StatusBadRequest, Err: fmt.Errorf("no such command: %q", c.Op)}
 	}
@@ -464,6 +466,91 @@
 	return l, nil
 }
 
+// Orders are all orders, as one voter knows them.
+type Orders struct {
+	Voter   string           `json:"voter"`
+	Fresh   bool             `json:"fresh"` // the leader's, which a majority confirmed
+	Halted  bool             `json:"halted"`
+	View    order.View       `json:"view"`
+	Orders  []order.Order    `json:"orders"`
+	Budgets []order.Standing `json:"budgets"`
+	Now     time.Duration    `json:"now"` // what the times count from
+}
+
+func (s *Server) orders(context.Context, []byte) (any, error) {
+	o := Orders{Voter: s.opt.Name, Fresh: s.leading.Load() && s.raft.VerifyLeader().Error() == nil, View: s.View()}
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	o.Halted, o.Orders, o.Budgets, o.Now = s.state.book.Halted, s.state.book.List(), s.state.book.Standings(), s.state.book.Now
+	return o, nil
+}
+
+// Leading tells whether this voter leads and has counted every lease anew.
+func (s *Server) Leading() bool { return s.leading.Load() }
+
+// View is what each gateway is to know of orders.
+func (s *Server) View() order.View {
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	return s.state.book.View(s.state.table.Term)
+}
+
+// Known are the gateways that were heard of last.
+func (s *Server) Known() []order.Gateway {
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	return slices.Collect(maps.Values(s.state.book.Gateways))
+}
+
+// Limit has the budgets agreed on, where they are not so already. It is for the leader, as the next ones are.
+func (s *Server) Limit(l []order.Budget) error {
+	s.state.mu.Lock()
+	same := slices.Equal(l, s.state.book.Budgets)
+	s.state.mu.Unlock()
+	if same {
+		return nil
+	}
+	r, err := s.propose(Command{Op: limit, Budgets: l})
+	return errors.Join(err, r.Err())
+}
+
+// See has what was heard of the fleet agreed on, where it is news or something waits for it.
+func (s *Server) See(v *Seen) error {
+	s.state.mu.Lock()
+	b := s.state.book
+	same := b.Seen >= v.Version && len(b.Gateways) == len(v.Gateways) && len(b.Endpoints) == len(v.Endpoints)
+	for _, g := range v.Gateways {
+		same = same && b.Gateways[g.Name] == g
+	}
+	for _, e := range v.Endpoints {
+		same = same && b.Endpoints[e.Cluster+"/"+e.Address] == e
+	}
+	for _, o := range b.Orders {
+		same = same && !(o.Until > 0 && (o.State == order.UnderWay) && s.Now() >= o.Until) // its time is over
+	}
+	s.state.mu.Unlock()
+	if same {
+		return nil
+	}
+	r, err := s.propose(Command{Op: see, Seen: v})
+	return errors.Join(err, r.Err())
+}
+
+// Begin has an order's taking out begin, Progress what its target has in hand agreed on.
+func (s *Server) Begin(o order.Order) error {
+	r, err := s.propose(Command{Op: begin, Order: &order.Order{ID: o.ID, Token: o.Token}})
+	return errors.Join(err, r.Err())
+}
+
+// Progress has it agreed on what an order's target has in hand.
+func (s *Server) Progress(o order.Order, inHand int) error {
+	if o.InHand == inHand && inHand > 0 {
+		return nil
+	}
+	r, err := s.propose(Command{Op: progress, Order: &order.Order{ID: o.ID, Token: o.Token, InHand: inHand}})
+	return errors.Join(err, r.Err())
+}
+
 // keepVoters has the leader take in whoever stands where a voter should: one with an empty folder replaces the one whose
 // folder was lost. It is asked at the voter's own address, so that nobody else can claim its name.
 func (s *Server) keepVoters(ctx context.Context) {
--- a/internal/quorum/state.go
+++ b/internal/quorum/state.go
@@ -12,6 +12,7 @@
 	"github.com/hashicorp/raft"
 
 	"arrowhitch/internal/lease"
+	"arrowhitch/internal/order"
 )
 
 // Op is what a command does.
@@ -23,8 +24,16 @@
 	Release Op = "release"
 	Revoke  Op = "revoke"
 	Forget  Op = "forget"
+	Ask     Op = "order"  // something is to be taken out
+	Cancel  Op = "cancel" // and to come back
+	Halt    Op = "halt"   // nothing new is taken out
+	Resume  Op = "resume"
 	// The leader's own.
-	lead Op = "lead"
+	lead     Op = "lead"
+	limit    Op = "limit"
+	see      Op = "see"
+	begin    Op = "begin"
+	progress Op = "progress"
 )
 
 // Command is one entry of the agreed log.
@@ -35,6 +44,10 @@
 	Member lease.Member `json:"member,omitzero"`
 	Token  uint64       `json:"token,omitempty"`
 	Heir   string       `json:"heir,omitempty"`
+	Order  *order.Order `json:"order,omitempty"` // ask, cancel; begin and progress with its token and what is in hand
+
+	Budgets []order.Budget `json:"budgets,omitempty"` // limit
+	Seen    *Seen          `json:"seen,omitempty"`    // see
 
 	// Now is the reading of the leader's monotonic clock, set by the leader.
 	Now   time.Duration `json:"now,omitempty"`
@@ -42,9 +55,17 @@
 	Base  uint64        `json:"base,omitempty"`  // lead: tokens are higher than this
 }
 
+// Seen is what the leader has heard of the fleet in one round.
+type Seen struct {
+	Version   uint64           `json:"version"` // of the view that all who answered had taken over
+	Gateways  []order.Gateway  `json:"gateways"`
+	Endpoints []order.Endpoint `json:"endpoints"`
+}
+
 // Result is what a command gave.
 type Result struct {
-	Grant lease.Grant `json:"grant,omitzero"`
+	Grant lease.Grant  `json:"grant,omitzero"`
+	Order *order.Order `json:"order,omitempty"`
 	// Code is empty, or why not: waiting, lost, old, full, bad.
 	Code string `json:"code,omitempty"`
 	Text string `json:"text,omitempty"`
@@ -82,11 +103,12 @@
 type state struct {
 	mu    sync.Mutex
 	table *lease.Table
+	book  *order.Book
 	fleet string
 }
 
 func newState() *state {
-	return &state{table: lease.NewTable()}
+	return &state{table: lease.NewTable(), book: order.NewBook()}
 }
 
 // Apply runs one entry. The same entries give the same state on each voter: time and term come from the entry alone.
@@ -105,6 +127,7 @@
 		if err := s.table.Lead(term, c.Now); err != nil {
 			return result(lease.Grant{}, err)
 		}
+		s.book.Lead(c.Now)
 	}
 	t := s.table
 	switch c.Op {
@@ -129,7 +152,35 @@
 	case Forget:
 		return result(lease.Grant{}, t.Forget(term, c.Now))
 	}
-	return Result{Code: "bad", Text: fmt.Sprintf("no such command: %q", c.Op)}
+	return s.applyOrder(c)
+}
+
+func (s *state) applyOrder(c *Command) Result {
+	b := s.book
+	var o order.Order
+	var err error
+	switch {
+	case c.Op == Halt, c.Op == Resume:
+		b.Halt(c.Now, c.Op == Halt)
+		return Result{}
+	case c.Op == limit:
+		return result(lease.Grant{}, b.Limit(c.Now, c.Budgets))
+	case c.Op == see && c.Seen != nil:
+		return result(lease.Grant{}, b.See(c.Now, c.Seen.Version, c.Seen.Gateways, c.Seen.Endpoints))
+	case c.Op == Ask && c.Order != nil:
+		o, err = b.Ask(c.Now, *c.Order)
+	case c.Op == Cancel && c.Order != nil:
+		o, err = b.Cancel(c.Now, c.Order.ID)
+	case c.Op == begin && c.Order != nil:
+		o, err = b.Begin(c.Now, c.Order.ID, c.Order.Token)
+	case c.Op == progress && c.Order != nil:
+		o, err = b.Progress(c.Now, c.Order.ID, c.Order.Token, c.Order.InHand)
+	default:
+		return Result{Code: "bad", Text: fmt.Sprintf("no such command: %q", c.Op)}
+	}
+	r := result(lease.Grant{}, err)
+	r.Order = &o
+	return r
 }
 
 // saved is the stored form.
@@ -137,6 +188,7 @@
 	Format int             `json:"format"`
 	Fleet  string          `json:"fleet"`
 	Table  json.RawMessage `json:"table"`
+	Book   json.RawMessage `json:"book,omitempty"` // earlier snapshots have none
 }
 
 const format = 1
@@ -148,7 +200,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return json.Marshal(saved{format, s.fleet, table})
+	book, err := json.Marshal(s.book)
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(saved{format, s.fleet, table, book})
 }
 
 func (s *state) load(text []byte) error {
@@ -163,9 +219,15 @@
 	if err != nil {
 		return fmt.Errorf("snapshot: %w", err)
 	}
+	book := order.NewBook()
+	if len(v.Book) > 0 {
+		if book, err = order.Restore(v.Book); err != nil {
+			return fmt.Errorf("snapshot: %w", err)
+		}
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.table, s.fleet = t, v.Fleet
+	s.table, s.book, s.fleet = t, book, v.Fleet
 	return nil
 }
 
--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"encoding/json"
@@ -18,6 +19,7 @@
 
 	"arrowhitch/internal/fleet"
 	"arrowhitch/internal/gateway"
+	"arrowhitch/internal/order"
 	"arrowhitch/internal/quorum"
 	"arrowhitch/internal/standin/proc"
 )
@@ -307,7 +309,7 @@
 func (n *Node) Up() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.p != nil && n.p.Running() && !n.frozen
+	return n.p != nil && n.p.Running() && !n.p.Killed() && !n.frozen
 }
 
 // Kill ends its process at once.
@@ -383,6 +385,45 @@
 // Status is what a gateway says of itself.
 func (n *Node) Status() (s gateway.Status, err error) { return s, n.get("/status", &s) }
 
+// Order has a node's admin listener pass on an order: what is drain, undrain, halt or resume.
+func (n *Node) Order(what string, o order.Order) (x order.Order, err error) {
+	text, err := json.Marshal(o)
+	if err != nil {
+		return x, err
+	}
+	resp, err := n.c.client.Post("http://"+n.Admin+"/fleet/"+what, "application/json", bytes.NewReader(text))
+	if err != nil {
+		return x, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(io.LimitReader(resp.Body, 4<<10))
+		return x, fmt.Errorf("%s: %s: %s", n.Name, resp.Status, text)
+	}
+	return x, json.NewDecoder(resp.Body).Decode(&x)
+}
+
+// Orders are all orders, as the quorum says to a node, by id.
+func (n *Node) Orders() (map[string]order.Order, error) {
+	var l quorum.Orders
+	m := map[string]order.Order{}
+	err := n.get("/fleet/orders", &l)
+	for _, o := range l.Orders {
+		m[o.ID] = o
+	}
+	return m, err
+}
+
+// Ready tells whether a gateway says that it is ready.
+func (n *Node) Ready() bool {
+	resp, err := n.c.client.Get("http://" + n.Admin + "/health/ready")
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
 // Leases are what the quorum says to a node.
 func (n *Node) Leases() (l quorum.Leases, err error) { return l, n.get("/fleet/leases", &l) }
 
--- /dev/null
+++ b/internal/standin/cluster/orders_test.go
@@ -0,0 +1,175 @@
+package cluster
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"arrowhitch/internal/fakes"
+	"arrowhitch/internal/order"
+	"arrowhitch/internal/quorum"
+)
+
+// Drains of gateways and endpoints under load, within what may be out: asked for by all at once, with one dead, through a kill and a
+// restart of what is out, with a gateway that was cut off, and without a quorum.
+func TestDrainsAreAgreed(t *testing.T) {
+	fakes.Leaks(t)
+	s, err := NewSite(t.Context(), SiteOptions{Binary: binary(t), Dir: t.TempDir(), Gateways: 5, Lease: testLease, Budgets: `[{name: g, most: 2}, {name: e, cluster: "*", most: 1}]`})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	load := s.Load(50)
+	defer load.Stop()
+	state := func(id string) order.State {
+		for _, n := range s.Nodes {
+			if n.Up() {
+				if l, err := n.Orders(); err == nil {
+					return l[id].State
+				}
+			}
+		}
+		return ""
+	}
+	gets := func(id string, want ...order.State) {
+		t.Helper()
+		comes(t, fmt.Sprint(id, " to be ", want), func() bool {
+			got := state(id)
+			for _, w := range want {
+				if got == w {
+					return true
+				}
+			}
+			return false
+		})
+	}
+	drain := func(id string, at int, t order.Target) (order.Order, error) {
+		return s.Nodes[at].Order("drain", order.Order{ID: id, Target: t, Owner: "test", Grace: 5 * time.Second, Notice: 300 * time.Millisecond})
+	}
+	gateway := func(i int) order.Target { return order.Target{Gateway: s.Nodes[i].Name} }
+	comes(t, "the gateways to be known", func() bool {
+		o, err := drain("first", 0, gateway(4))
+		return err == nil && o.State != order.Asked && o.State != order.Refused
+	})
+	gets("first", order.Done)
+	if s.Nodes[4].Ready() {
+		t.Error("ready though it is taken out")
+	}
+
+	// All at once: one more may be out, whoever asks.
+	var work sync.WaitGroup
+	for i := range 4 {
+		work.Go(func() { _, _ = drain(fmt.Sprint("all", i), i, gateway(i)) })
+	}
+	work.Wait()
+	granted := ""
+	comes(t, "one of four", func() bool {
+		for i := range 4 {
+			if state(fmt.Sprint("all", i)) == order.Done {
+				granted = fmt.Sprint("all", i)
+			}
+		}
+		return granted != ""
+	})
+	out := 0
+	for i := range 4 {
+		if st := state(fmt.Sprint("all", i)); st != order.Asked {
+			out++
+		}
+	}
+	if out != 1 {
+		t.Errorf("%d of four were taken out, one more may be", out)
+	}
+	for i := range 4 { // those that wait go first, so that none of them takes the place
+		if id := fmt.Sprint("all", i); id != granted {
+			_, _ = s.Nodes[0].Order("undrain", order.Order{ID: id})
+		}
+	}
+	if _, err := s.Nodes[0].Order("undrain", order.Order{ID: granted}); err != nil {
+		t.Fatal(err)
+	}
+	gets(granted, order.Ended)
+
+	// What is out is killed and started again: it is out still, and its order with it.
+	if err := s.Nodes[4].Restart(false); err != nil {
+		t.Fatal(err)
+	}
+	comes(t, "it runs", func() bool {
+		st, err := s.Nodes[4].Status()
+		return err == nil && len(st.Clusters) == 1 && st.Clusters[0].Usable > 0
+	})
+	for end := time.Now().Add(time.Second); time.Now().Before(end); _ = sleep(t.Context(), 20*time.Millisecond) {
+		if s.Nodes[4].Ready() {
+			t.Fatal("ready, though it is taken out")
+		}
+	}
+	gets("first", order.Done)
+
+	// One dies: two are out, so nothing more is; and what was asked for is granted when it is back.
+	s.Nodes[3].Kill()
+	comes(t, "the loss to be counted", func() bool {
+		var l quorum.Orders
+		return s.Nodes[0].get("/fleet/orders", &l) == nil && len(l.Budgets) > 0 && len(l.Budgets[0].Out) == 2
+	})
+	if o, err := drain("more", 0, gateway(0)); err != nil || o.State != order.Asked {
+		t.Errorf("with two out: %+v, %v", o, err)
+	}
+	if o, _ := s.Nodes[0].Orders(); !strings.Contains(o["more"].Why, "2 of 5 are out") && !strings.Contains(o["more"].Why, "budget g") {
+		t.Errorf("%+v", o["more"])
+	}
+	if err := s.Nodes[3].Start(); err != nil {
+		t.Fatal(err)
+	}
+	gets("more", order.Done)
+	for _, id := range []string{"more", "first"} {
+		if _, err := s.Nodes[1].Order("undrain", order.Order{ID: id}); err != nil {
+			t.Fatal(err)
+		}
+		gets(id, order.Ended)
+	}
+	comes(t, "all to be ready", func() bool {
+		for _, n := range s.Nodes {
+			if !n.Ready() {
+				return false
+			}
+		}
+		return true
+	})
+
+	// An endpoint: nothing new within a second, also from a gateway that was cut off and comes back.
+	s.Alone(s.Nodes[4], Way{Cut: true})
+	e := order.Target{Cluster: "c", Endpoint: s.Origins[0].Addr}
+	o, err := drain("e", 0, e)
+	if err != nil || o.State == order.Refused {
+		t.Fatalf("%+v, %v", o, err)
+	}
+	gets("e", order.UnderWay, order.Done)
+	s.Heal()
+	healed := time.Now()
+	gets("e", order.Done)
+	if n := s.Origins[0].After(healed.Add(time.Second)); n != 0 {
+		t.Errorf("%d requests to an endpoint that is out", n)
+	}
+	if o, err := drain("f", 1, order.Target{Cluster: "c", Endpoint: s.Origins[1].Addr}); err != nil || o.State != order.Asked {
+		t.Errorf("a second one: %+v, %v", o, err)
+	}
+	if _, err := s.Nodes[2].Order("undrain", order.Order{ID: "e"}); err != nil {
+		t.Fatal(err)
+	}
+	before := s.Origins[0].Requests()
+	comes(t, "it serves", func() bool { return s.Origins[0].Requests() > before+10 })
+	gets("e", order.Cancelled) // it is cold: its slot is held
+
+	// Without a quorum nothing new is taken out, what is out stays, and all is served.
+	for _, n := range s.Nodes[:2] {
+		n.Kill()
+	}
+	if o, err := drain("none", 2, gateway(4)); err == nil {
+		t.Errorf("granted without a quorum: %+v", o)
+	}
+	if why := load.Stop(); why != "" || load.Asked.Load() < 200 {
+		t.Errorf("%d of %d failed, first %s", load.Failed.Load(), load.Asked.Load(), why)
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -127,3 +127,10 @@
 	}
 	return s.fade(now, life)
 }
+
+// Each tells of each server of the list how many of this proxy's attempts are out at it, and whether it is ejected.
+func (b *Balancer) Each(now time.Duration, fn func(id string, inFlight int, ejected bool)) {
+	for _, s := range b.list {
+		fn(s.ID, s.inFlight, b.ejected(s, now))
+	}
+}
