release: a configuration goes over a fleet in waves, with gates and a way back

A bad configuration was everywhere at once; nothing stopped it and nothing undid it. internal/release, pure and applied by the quorum: waves (one gateway a site, a tenth, half, all, never two zones of a site in one), each judged all the while by failed and refused requests, the mean time of an answer, restarts, memory and silence, against those that have not got it and against their own past; too little traffic is "not known" and waits. A gate that fails halts or has all go back; halt, resume, back and stop by hand at any moment. The leader's round tells each gateway what it is to have and has agreed what it says, so a successor goes on. A release brings the sections classes, clusters, routes, rate_limits, zones and xds; the text is kept by the quorum under its digest, checked before use, and given up by a gateway that hears nothing with it. `robindrum release plan | start | status | halt | resume | back | stop`.

--- /dev/null
+++ b/cmd/robindrum/release.go
@@ -0,0 +1,191 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"arrowhitch/internal/fleet"
+	"arrowhitch/internal/quorum"
+	"arrowhitch/internal/release"
+)
+
+// exitBack is a release that went back, or halts.
+const exitBack = 5
+
+func releaseCommand() *cobra.Command {
+	var addr string
+	c := &cobra.Command{Use: "release", Short: "Take a configuration over a fleet in waves, with a halt and a way back", Args: noArgs,
+		Long: "A release brings the sections classes, clusters, routes, rate_limits, zones and xds of a file to every gateway of the fleet; all else stays each\n" +
+			"process's own. It goes in waves: one gateway a site, a tenth, half, all, never two zones of a site in one; each is judged by what it shows.",
+		RunE: func(c *cobra.Command, _ []string) error { return c.Help() }}
+	c.PersistentFlags().StringVarP(&addr, "admin", "a", "127.0.0.1:9901", "any process's admin `address`")
+	state := func(c *cobra.Command) (l quorum.Releases, err error) {
+		err = ask(c, http.MethodGet, addr, "/fleet/releases", &l)
+		return l, err
+	}
+	do := func(c *cobra.Command, x quorum.Command) error {
+		text, err := json.Marshal(x)
+		if err != nil {
+			return err
+		}
+		return send(c, http.MethodPost, addr, "/fleet/release", bytes.NewReader(text), io.Discard)
+	}
+	c.AddCommand(&cobra.Command{Use: "plan", Short: "Print the waves in which a release would go, without doing it", Args: noArgs, RunE: func(c *cobra.Command, _ []string) error {
+		l, err := state(c)
+		if err != nil {
+			return err
+		}
+		for i, w := range release.Waves(l.Gateways) {
+			fmt.Fprintf(c.OutOrStdout(), "wave %d, %d of %d: %s\n", i+1, len(w), len(l.Gateways), strings.Join(w, " "))
+		}
+		if l.Current != nil {
+			fmt.Fprintf(c.OutOrStdout(), "it would be refused: %s is under way\n", l.Current)
+		}
+		return nil
+	}})
+	var wait, plain bool
+	p := release.Plan{}
+	start := &cobra.Command{Use: "start FILE", Short: "Start a release of a file's sections", Args: cobra.ExactArgs(1), RunE: func(c *cobra.Command, args []string) error {
+		text, err := os.ReadFile(args[0])
+		if err != nil {
+			return err
+		}
+		p.To = fleet.ConfigDigest(text)
+		if p.ID == "" {
+			p.ID = p.To[:8]
+		}
+		p.Owner = os.Getenv("USER")
+		if err := do(c, quorum.Command{Op: quorum.Put, Digest: p.To, Text: string(text)}); err != nil {
+			return err
+		}
+		if err := do(c, quorum.Command{Op: quorum.ReleaseBegin, Plan: &p}); err != nil {
+			return err
+		}
+		if !wait {
+			fmt.Fprintf(c.OutOrStdout(), "release %s of %s begins\n", p.ID, p.To)
+			return nil
+		}
+		return watch(c, state, p.ID, plain)
+	}}
+	f := start.Flags()
+	f.StringVar(&p.ID, "id", "", "the release's name; left out: the file's digest")
+	f.StringVar(&p.Reason, "reason", "", "why")
+	f.DurationVar(&p.Soak, "soak", 30*time.Second, "how long each wave shows what it does")
+	f.IntVar(&p.Faster, "faster", 4, "how many times faster it goes back")
+	f.BoolVar(&p.Back, "back", true, "a gate that fails has all go back; else it halts")
+	f.IntVar(&p.Gate.Requests, "requests", 200, "that a wave must have had to be judged")
+	f.Float64Var(&p.Gate.Errors, "errors", 0.01, "failed or refused requests that may be more, as a part of all")
+	f.Float64Var(&p.Gate.Slower, "slower", 1.5, "multiple of the mean time of an answer that is too much")
+	f.Float64Var(&p.Gate.Memory, "memory", 1.5, "multiple of a gateway's memory before that is too much")
+	f.BoolVar(&wait, "wait", false, "wait until it has ended or halts; exit code 0 done, 5 halted or back")
+	f.BoolVar(&plain, "json", false, "with --wait, print JSON, a line a change")
+	c.AddCommand(start)
+	var raw bool
+	status := &cobra.Command{Use: "status", Short: "How the release stands, and who has what", Args: noArgs, RunE: func(c *cobra.Command, _ []string) error {
+		if raw {
+			return ask(c, http.MethodGet, addr, "/fleet/releases", c.OutOrStdout())
+		}
+		l, err := state(c)
+		if err != nil {
+			return err
+		}
+		return showReleases(c.OutOrStdout(), &l)
+	}}
+	status.Flags().BoolVar(&raw, "json", false, "print what the quorum says as it is")
+	c.AddCommand(status)
+	for _, x := range []struct {
+		name, what string
+		op         quorum.Op
+	}{{"halt", "Have it go no further; everyone keeps what it has", quorum.ReleaseHalt}, {"resume", "Go on with the wave that was halted", quorum.ReleaseResume},
+		{"back", "Have every gateway go back to what it had", quorum.ReleaseBack}, {"stop", "End a halted release where it stands", quorum.ReleaseStop}} {
+		c.AddCommand(&cobra.Command{Use: x.name, Short: x.what, Args: noArgs, RunE: func(c *cobra.Command, _ []string) error {
+			return do(c, quorum.Command{Op: x.op, Text: strings.TrimSpace("by hand, " + os.Getenv("USER"))})
+		}})
+	}
+	return c
+}
+
+// watch prints a release's changes until it has ended or halts.
+func watch(c *cobra.Command, state func(*cobra.Command) (quorum.Releases, error), id string, plain bool) error {
+	last := ""
+	for {
+		l, err := state(c)
+		var r *release.Release
+		if err == nil {
+			if r = l.Current; r == nil || r.ID != id {
+				r = nil
+				for i := range l.Ended {
+					if l.Ended[i].ID == id {
+						r = &l.Ended[i]
+					}
+				}
+			}
+		}
+		if r != nil {
+			if line := r.String(); line != last {
+				last = line
+				if plain {
+					if err := json.NewEncoder(c.OutOrStdout()).Encode(r); err != nil {
+						return err
+					}
+				} else {
+					fmt.Fprintln(c.OutOrStdout(), line)
+				}
+			}
+			switch r.State {
+			case release.Done:
+				return nil
+			case release.Halted, release.Gone, release.Stopped:
+				return exitCode(exitBack)
+			}
+		}
+		select {
+		case <-c.Context().Done():
+			return c.Context().Err()
+		case <-time.After(300 * time.Millisecond):
+		}
+	}
+}
+
+func showReleases(out io.Writer, l *quorum.Releases) error {
+	if !l.Fresh {
+		fmt.Fprintf(out, "NO LEADER: as voter %s knew them last. Nothing goes on\n", l.Voter)
+	}
+	if l.Current != nil {
+		fmt.Fprintf(out, "%s\n", l.Current)
+	} else {
+		fmt.Fprintln(out, "no release is under way")
+	}
+	for i := len(l.Ended) - 1; i >= max(0, len(l.Ended)-5); i-- {
+		fmt.Fprintf(out, "  ended %s ago: %s\n", seconds((l.Now - l.Ended[i].Since).Seconds()), &l.Ended[i])
+	}
+	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "GATEWAY\tSITE\tZONE\tHAS\tIS TO HAVE\tREQUESTS\tBAD\tMEAN\tMEMORY\tREFUSED")
+	name := func(digest string) string {
+		if digest == "" {
+			return "its own file"
+		}
+		return digest[:min(12, len(digest))]
+	}
+	for _, g := range l.Gateways {
+		has := name(g.Has)
+		if !g.Here {
+			has = "NO ANSWER"
+		}
+		mean := 0.0
+		if g.Served > 0 {
+			mean = 1000 * g.Seconds / float64(g.Served)
+		}
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%d\t%d\t%.1f ms\t%d MiB\t%s\n", g.Name, g.Site, g.Zone, has, name(l.Want[g.Name]), g.Taken, g.Bad, mean, g.Memory>>20, g.Refused)
+	}
+	return t.Flush()
+}
--- a/cmd/robindrum/serve.go
+++ b/cmd/robindrum/serve.go
@@ -226,6 +226,9 @@
 			}
 		}
 	}
+	if s.Drained != "" {
+		fmt.Fprintf(out, "OUT OF SERVICE by order %s\n", s.Drained)
+	}
 	if err := showSubscription(out, s); err != nil {
 		return err
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -3,10 +3,12 @@
 package config
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -36,6 +38,7 @@
 
 	path string
 	dir  string
+	text []byte
 }
 
 // Gateway is this one among those before the same servers.
@@ -326,7 +329,7 @@
 // Parse checks a file's text and fills in the defaults. The error is of type Errors.
 func Parse(path string, text []byte) (*File, error) {
 	d := &decoder{file: path}
-	f := &File{path: path, dir: filepath.Dir(path)}
+	f := &File{path: path, dir: filepath.Dir(path), text: text}
 	d.decode(text, f)
 	if err := d.sorted(); err != nil {
 		return nil, err
@@ -339,6 +342,51 @@
 	return f, nil
 }
 
+// released are the sections that a release may bring. The others are this process's own.
+var released = []string{"classes", "clusters", "routes", "rate_limits", "zones", "xds"}
+
+// With gives the file with a release's sections in place of its own.
+func (f *File) With(release string) (*File, error) {
+	var mine, theirs yaml.Node
+	if err := yaml.Unmarshal(f.text, &mine); err != nil {
+		return nil, err
+	}
+	if err := yaml.Unmarshal([]byte(release), &theirs); err != nil {
+		return nil, fmt.Errorf("the release: %w", err)
+	}
+	if len(theirs.Content) != 1 || theirs.Content[0].Kind != yaml.MappingNode || len(mine.Content) != 1 || mine.Content[0].Kind != yaml.MappingNode {
+		return nil, errors.New("the release: want sections by name")
+	}
+	own := mine.Content[0]
+	l := theirs.Content[0].Content
+	for i := 0; i+1 < len(l); i += 2 {
+		key := l[i].Value
+		if !slices.Contains(released, key) {
+			return nil, fmt.Errorf("the release: %s is each process's own; a release brings %s", key, strings.Join(released, ", "))
+		}
+		at := -1
+		for j := 0; j+1 < len(own.Content); j += 2 {
+			if own.Content[j].Value == key {
+				at = j
+			}
+		}
+		if at < 0 {
+			own.Content = append(own.Content, l[i], l[i+1])
+		} else {
+			own.Content[at+1] = l[i+1]
+		}
+	}
+	text, err := yaml.Marshal(&mine)
+	if err != nil {
+		return nil, fmt.Errorf("the release: %w", err)
+	}
+	n, err := Parse(f.path+" with the release", text)
+	if err == nil {
+		n.dir, n.text = f.dir, f.text
+	}
+	return n, err
+}
+
 // Path is the file's name, Resolve a name in it as seen from its folder.
 func (f *File) Path() string { return f.path }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -27,6 +27,7 @@
 	"arrowhitch/internal/order"
 	"arrowhitch/internal/peer"
 	"arrowhitch/internal/quorum"
+	"arrowhitch/internal/release"
 )
 
 // Fleet is one process's place. Its methods may be called by several goroutines at once.
@@ -65,6 +66,12 @@
 	return hex.EncodeToString(d[:6])
 }
 
+// ConfigDigest is what a released configuration is called by.
+func ConfigDigest(text []byte) string {
+	d := sha256.Sum256(text)
+	return hex.EncodeToString(d[:])
+}
+
 // New opens the address and, where this process is a voter, its folder. A folder that cannot be used keeps it from voting
 // and from nothing else: see NoVote. Start has it speak.
 func New(c *config.Fleet, zone, version string, state members.State, log *slog.Logger) (*Fleet, error) {
@@ -74,7 +81,7 @@
 	}
 	now := Clock
 	f := &Fleet{conf: c, log: log, now: now, post: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: 30 * time.Second}}}
-	f.orders.f, f.orders.absent = f, map[string]time.Duration{}
+	f.orders.f, f.orders.absent, f.orders.news = f, map[string]time.Duration{}, make(chan struct{}, 1)
 	f.life, f.end = context.WithCancel(context.Background())
 	f.voting, f.resign = context.WithCancel(context.Background())
 	var err error
@@ -143,6 +150,9 @@
 		f.work.Go(func() { f.runner.Run(f.life, d) })
 	}
 	f.work.Go(f.watch)
+	if f.orders.agent != nil {
+		f.leading.Go(func() { f.orders.configure(f.voting) })
+	}
 }
 
 // watch asks for duties whose holder may have gone.
@@ -324,5 +334,29 @@
 			answer(w, x, err)
 		})
 	}
+	mux.HandleFunc("GET /fleet/releases", func(w http.ResponseWriter, r *http.Request) {
+		l, err := f.client.Releases(r.Context())
+		answer(w, l, err)
+	})
+	mux.HandleFunc("POST /fleet/release", func(w http.ResponseWriter, r *http.Request) {
+		var c quorum.Command
+		if err := json.NewDecoder(io.LimitReader(r.Body, 4*release.MostText)).Decode(&c); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		switch c.Op {
+		case quorum.Put, quorum.ReleaseBegin, quorum.ReleaseHalt, quorum.ReleaseResume, quorum.ReleaseBack, quorum.ReleaseStop:
+		default:
+			http.Error(w, fmt.Sprintf("no such command: %q", c.Op), http.StatusBadRequest)
+			return
+		}
+		ctx, cancel := context.WithTimeout(r.Context(), 10*time.Second)
+		defer cancel()
+		x, _, err := f.client.Do(ctx, c)
+		if err == nil {
+			err = x.Err()
+		}
+		answer(w, struct{}{}, err)
+	})
 	return mux
 }
--- a/internal/fleet/orders.go
+++ b/internal/fleet/orders.go
@@ -12,6 +12,7 @@
 	"arrowhitch/internal/order"
 	"arrowhitch/internal/peer"
 	"arrowhitch/internal/quorum"
+	"arrowhitch/internal/release"
 )
 
 const (
@@ -29,12 +30,19 @@
 	Serving   bool             `json:"serving"`
 	InHand    map[string]int   `json:"in_hand,omitempty"`   // by order: at this gateway, or of it at the endpoint
 	Endpoints []order.Endpoint `json:"endpoints,omitempty"` // those that are not well; with full all
+	// Of releases.
+	Has     string          `json:"has,omitempty"`
+	Refused string          `json:"refused,omitempty"`
+	Figures release.Figures `json:"figures,omitzero"`
 }
 
 // Agent is the gateway that takes orders. Ordered is called by one goroutine at a time, and each time with a view that is no
 // older than the one before.
 type Agent interface {
 	Ordered(v order.View, full bool) Report
+	// Configure has the gateway use a configuration beside its own file; empty: its own file's alone. What it cannot use changes
+	// nothing. It is called by one goroutine at a time.
+	Configure(digest, text string) error
 }
 
 // orders is a process's part in them: it takes what it is told, and tells the others while its voter leads.
@@ -46,13 +54,22 @@
 	view  order.View
 	known time.Duration // when the view was confirmed last; 0: never
 
+	// What is to be had, by term and version, and what is; see configure.
+	term, version uint64
+	want          string
+	has, refused  string
+	told          time.Duration // when the leader spoke last
+	news          chan struct{}
+
 	absent map[string]time.Duration // gateways that were there and are not, since when this voter knows; its leader's loop alone has it
 }
 
 // told is what the leader sends.
 type told struct {
-	View order.View `json:"view"`
-	Full bool       `json:"full"`
+	View    order.View `json:"view"`
+	Full    bool       `json:"full"`
+	Want    string     `json:"want"` // the configuration that this gateway is to have
+	Version uint64     `json:"version"`
 }
 
 // Serve has the fleet's orders taken by a gateway. It is called before Start.
@@ -63,30 +80,101 @@
 		if err := json.Unmarshal(body, &t); err != nil {
 			return nil, &peer.Failure{Status: http.StatusBadRequest, Err: err}
 		}
-		return f.orders.take(t.View, t.Full), nil
+		return f.orders.take(t), nil
 	})
 }
 
-// take takes a view over, unless a newer one is known, and says how the gateway stands.
-func (o *orders) take(v order.View, full bool) Report {
+// take takes what the leader says, unless something newer is known, and says how the gateway stands.
+func (o *orders) take(t told) Report {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.view.Newer(&v) {
-		v = o.view
+	if o.view.Newer(&t.View) {
+		t.View = o.view
+	}
+	o.view, o.known, o.told = t.View, o.f.now(), o.f.now()
+	if t.Version > o.version {
+		o.version = t.Version
+		if o.want != t.Want {
+			o.want, o.refused = t.Want, ""
+		}
+		select {
+		case o.news <- struct{}{}:
+		default:
+		}
 	}
-	o.view, o.known = v, o.f.now()
-	r := o.agent.Ordered(v, full)
-	r.Birth = o.f.list.Self().Birth
+	r := o.agent.Ordered(t.View, t.Full)
+	r.Birth, r.Has, r.Refused = o.f.list.Self().Birth, o.has, o.refused
 	return r
 }
 
+// deadMan is so many heartbeats: a gateway that has a new configuration and is told nothing for so long goes back by itself.
+const deadMan = 20
+
+// configure has the gateway use what it is to have, until ctx ends.
+func (o *orders) configure(ctx context.Context) {
+	beat := o.f.conf.Quorum.Heartbeat.D()
+	tick := time.NewTicker(beat)
+	defer tick.Stop()
+	before, since := "", time.Duration(0) // what was in use, and since when another one is that nobody has seen at work yet
+	for {
+		o.mu.Lock()
+		want, has, refused, heard := o.want, o.has, o.refused, o.told
+		o.mu.Unlock()
+		switch {
+		case since > 0 && heard > since:
+			since = 0
+		case since > 0 && o.f.now()-since > deadMan*beat:
+			o.use(ctx, before, "with it nobody is heard of any more")
+			since = 0
+		case want != has && refused == "":
+			if o.use(ctx, want, "") {
+				before, since = has, o.f.now()
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		case <-o.news:
+		}
+	}
+}
+
+// use has the gateway use a configuration. why: another one is given up for it.
+func (o *orders) use(ctx context.Context, digest, why string) bool {
+	text := ""
+	if digest != "" {
+		var err error
+		if text, err = o.f.client.Text(ctx, digest); err != nil {
+			return false // the next time
+		}
+		if ConfigDigest([]byte(text)) != digest {
+			o.f.log.Error("a configuration is not what its digest says", "digest", digest)
+			return false
+		}
+	}
+	err := o.agent.Configure(digest, text)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if err != nil {
+		why = err.Error()
+		o.refused = why[:min(len(why), 200)]
+		o.f.log.Error("a released configuration is refused, the one before goes on", "digest", digest, "err", err)
+		return false
+	}
+	o.f.log.Info("configuration", "from", o.has, "to", digest, "why", why)
+	o.has, o.refused = digest, why
+	return true
+}
+
 // AskOrders asks the voters what is ordered, within a time; false: nobody said.
 func (f *Fleet) AskOrders(ctx context.Context, within time.Duration) bool {
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	for ctx.Err() == nil {
 		if l, err := f.client.Orders(ctx); err == nil && (l.Fresh || l.View.Term > 0) {
-			f.orders.take(l.View, false)
+			f.orders.take(told{View: l.View, Want: l.Want[f.conf.Member], Version: l.WantVersion})
+			f.orders.await(ctx)
 			return true
 		}
 		t := time.NewTimer(f.conf.Quorum.Heartbeat.D() / 2)
@@ -99,6 +187,24 @@
 	return false
 }
 
+// await waits until what is to be had is in use, or refused.
+func (o *orders) await(ctx context.Context) {
+	for ctx.Err() == nil {
+		o.mu.Lock()
+		done := o.has == o.want || o.refused != ""
+		o.mu.Unlock()
+		if done {
+			return
+		}
+		t := time.NewTimer(5 * time.Millisecond)
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		}
+		t.Stop()
+	}
+}
+
 // lead tells everyone what is ordered and has agreed on what they say, for as long as this voter leads.
 func (o *orders) lead(ctx context.Context) {
 	beat := o.f.conf.Quorum.Heartbeat.D()
@@ -114,7 +220,8 @@
 			continue
 		}
 		// Where nothing is ordered looking now and then is enough.
-		if idle++; len(o.f.server.View().Out) > 0 || idle >= 4 {
+		_, _, under := o.f.server.Want(nil)
+		if idle++; len(o.f.server.View().Out) > 0 || under || idle >= 4 {
 			idle = 0
 			if err := o.round(ctx); err != nil && ctx.Err() == nil {
 				o.f.log.Debug("a round of orders", "err", err)
@@ -140,6 +247,11 @@
 	}
 	view = s.View()
 	all := f.list.Members()
+	var names []string
+	for _, m := range all {
+		names = append(names, m.Name)
+	}
+	want, version, under := s.Want(names)
 	reports := make([]*Report, len(all))
 	var work sync.WaitGroup
 	room := make(chan struct{}, mostRound)
@@ -156,14 +268,14 @@
 			one, cancel := context.WithTimeout(ctx, 2*f.conf.Quorum.Heartbeat.D())
 			defer cancel()
 			var r Report
-			if f.node.Call(one, m.Address, ordersPath, told{view, full}, &r) == nil && r.Version >= view.Version {
+			if f.node.Call(one, m.Address, ordersPath, told{view, full, want[m.Name], version}, &r) == nil && r.Version >= view.Version {
 				reports[i] = &r
 			}
 		})
 	}
 	work.Wait()
 	seen := &quorum.Seen{Version: view.Version}
-	names, bad, answered := map[[2]string]order.Endpoint{}, map[[2]string]int{}, 0
+	ends, bad, answered := map[[2]string]order.Endpoint{}, map[[2]string]int{}, 0
 	inHand, heard := map[string]int{}, map[string]int{}
 	for i, m := range all {
 		if m.State == members.Witness || m.State == members.Gone {
@@ -183,10 +295,18 @@
 					bad[k]++
 				}
 				e.Well = true
-				names[k] = e
+				ends[k] = e
 			}
 		}
 		seen.Gateways = append(seen.Gateways, g)
+		if r := reports[i]; r != nil {
+			seen.Release = append(seen.Release, release.Gateway{Name: g.Name, Site: g.Site, Zone: g.Zone, Birth: g.Birth, Here: true, Has: r.Has, Refused: r.Refused, Figures: r.Figures})
+		} else {
+			seen.Release = append(seen.Release, release.Gateway{Name: g.Name, Site: g.Site, Zone: g.Zone, Birth: g.Birth})
+		}
+	}
+	if !under && s.Shown(seen.Release) { // a release begins with what is known then
+		seen.Release = nil
 	}
 	// One that has left is missing all the same, until it is back or forgotten.
 	there := map[string]bool{}
@@ -207,7 +327,7 @@
 		seen.Gateways = append(seen.Gateways, g)
 	}
 	maps.DeleteFunc(o.absent, func(_ string, since time.Duration) bool { return f.now()-since >= 2*f.conf.Forget.D() })
-	for k, e := range names {
+	for k, e := range ends {
 		e.Well = float64(bad[k]) < max(doubt*float64(answered), 1)
 		seen.Endpoints = append(seen.Endpoints, e)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -54,8 +54,10 @@
 	told        *config.File // by tellFleet, which alone has both
 	toldVersion string
 
-	mu        sync.Mutex // all below; news of sources and new configurations are taken one after the other
-	file      *config.File
+	mu        sync.Mutex    // all below; news of sources and new configurations are taken one after the other
+	file      *config.File  // in use
+	local     *config.File  // this process's own
+	release   string        // the sections that a release brings; empty: none
 	reloaded  time.Duration // when the configuration in use was taken over
 	refused   string        // why the last one was not, empty if it was
 	refusedAt time.Duration
@@ -74,7 +76,8 @@
 	drainAt   time.Duration              // when it was heard of
 	ordered   bool                       // it is known what is ordered, or it was waited for long enough
 
-	refuses atomic.Bool // nothing new is taken, by an order
+	refuses atomic.Bool   // nothing new is taken, by an order
+	nowhere atomic.Uint64 // requests that no core took: no route, a rate limit, out of service
 }
 
 type listener struct {
@@ -113,6 +116,7 @@
 	g.life, g.end = context.WithCancel(context.Background())
 	g.front = node.NewFront(node.FrontOptions{Budget: g.budget, BodyBytes: int64(f.Limits.Memory), LongestBody: int64(f.Limits.Body), Router: g, WholeWaits: true, ShedHeads: true})
 	g.routes.Store(&routing{file: &route.Table{}, clusters: map[string]*cluster{}})
+	g.local = f
 	err := g.joinFleet(f)
 	if err == nil {
 		g.mu.Lock()
@@ -162,9 +166,39 @@
 	if g.stopping {
 		return errors.New("the gateway is stopping")
 	}
-	err := g.take(f, false)
+	n, err := g.with(f, g.release)
+	if err == nil {
+		err = g.take(n, false)
+	}
 	if err != nil {
 		g.refuse(err)
+		return err
+	}
+	g.local = f
+	return nil
+}
+
+// with gives a file with a release's sections in place of its own; none: as it is.
+func (g *Gateway) with(f *config.File, release string) (*config.File, error) {
+	if release == "" {
+		return f, nil
+	}
+	return f.With(release)
+}
+
+// Configure has the gateway use a release's sections in place of its file's, or its file's again.
+func (g *Gateway) Configure(_, text string) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.stopping {
+		return errors.New("the gateway is stopping")
+	}
+	n, err := g.with(g.local, text)
+	if err == nil {
+		err = g.take(n, false)
+	}
+	if err == nil {
+		g.release = text
 	}
 	return err
 }
@@ -268,6 +302,14 @@
 
 // Route finds where a request goes.
 func (g *Gateway) Route(r *http.Request, from node.Peer) node.Destination {
+	d := g.destination(r, from)
+	if d.Core == nil {
+		g.nowhere.Add(1)
+	}
+	return d
+}
+
+func (g *Gateway) destination(r *http.Request, from node.Peer) node.Destination {
 	if g.refuses.Load() {
 		return node.Destination{Status: http.StatusServiceUnavailable, Text: "this gateway is taken out of service", Wait: time.Second, Close: true}
 	}
--- a/internal/gateway/orders.go
+++ b/internal/gateway/orders.go
@@ -1,10 +1,14 @@
 package gateway
 
 import (
+	"fmt"
+	"os"
 	"time"
 
 	"arrowhitch/internal/fleet"
+	"arrowhitch/internal/node"
 	"arrowhitch/internal/order"
+	"arrowhitch/internal/release"
 )
 
 // orderWait is how long a gateway that starts waits to be told what is ordered. Then it serves without: that nobody answers must
@@ -94,6 +98,7 @@
 			r.Serving = false
 		}
 	}
+	r.Figures = g.figures()
 	inHand := map[[2]string]int{}
 	for name, c := range g.clusters {
 		out := map[string]bool{}
@@ -135,3 +140,32 @@
 		}
 	}
 }
+
+// figures are what the requests of this process came to, those of clusters that are gone included.
+func (g *Gateway) figures() release.Figures {
+	var t node.Stats
+	for _, p := range g.past {
+		t.Add(p.Stats)
+	}
+	for _, c := range g.clusters {
+		t.Add(c.in.core.Stats())
+	}
+	for in := range g.old {
+		t.Add(in.core.Stats())
+	}
+	nowhere := g.nowhere.Load()
+	return release.Figures{Taken: t.Taken + nowhere, Bad: t.Failed + t.Refused + nowhere, Served: t.Served, Seconds: t.Took.Seconds(), Memory: resident()}
+}
+
+// resident is this process's memory in bytes; 0 where the system does not say.
+func resident() int64 {
+	text, err := os.ReadFile("/proc/self/statm")
+	if err != nil {
+		return 0
+	}
+	var size, pages int64
+	if _, err := fmt.Sscan(string(text), &size, &pages); err != nil {
+		return 0
+	}
+	return pages * int64(os.Getpagesize())
+}
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -28,6 +28,7 @@
 
 	Fleet        *fleet.Status `json:"fleet,omitempty"`
 	Subscription *Subscription `json:"subscription,omitempty"`
+	Drained      string        `json:"drained,omitempty"` // the order that has taken this gateway out
 }
 
 // ConfigStatus is about the file.
@@ -183,6 +184,9 @@
 	if g.refused != "" {
 		s.Config.RefusedAge = age(g.refusedAt)
 	}
+	if g.drain != nil {
+		s.Drained = g.drain.ID
+	}
 	for name, l := range g.listeners {
 		s.Listeners[name] = l.Addr().String()
 	}
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -80,7 +80,7 @@
 	c.AdvertiseAddr, c.AdvertisePort = host, peer.Port(opt.Self.Address)
 	c.ProbeInterval, c.ProbeTimeout, c.GossipInterval = opt.Probe, opt.Probe/2, opt.Probe/5
 	c.PushPullInterval, c.TCPTimeout, c.GossipToTheDeadTime = 30*opt.Probe, 10*opt.Probe, 30*opt.Probe
-	c.DeadNodeReclaimTime = opt.Probe // a process that starts again may have another address
+	c.DeadNodeReclaimTime = 10 * opt.Probe // a process that starts again may have another address
 	c.Delegate, c.Events, c.Conflict, c.Ping, c.Alive = (*delegate)(l), (*delegate)(l), (*delegate)(l), (*delegate)(l), (*delegate)(l)
 	c.Logger = log.New(&logReader{l: l}, "", 0)
 	if l.ml, err = memberlist.Create(c); err != nil {
--- a/internal/quorum/client.go
+++ b/internal/quorum/client.go
@@ -121,6 +121,27 @@
 	return all(ctx, c, "/fleet/v1/book", func(l, than *Orders) (bool, bool) { return l.Fresh, than == nil || l.View.Newer(&than.View) })
 }
 
+// Releases asks for the releases, in the same way.
+func (c *Client) Releases(ctx context.Context) (Releases, error) {
+	return all(ctx, c, "/fleet/v1/releases", func(l, than *Releases) (bool, bool) { return l.Fresh, than == nil || l.Version > than.Version })
+}
+
+// Text asks the voters for a configuration by its digest.
+func (c *Client) Text(ctx context.Context, digest string) (string, error) {
+	var err error
+	for _, v := range c.voters {
+		var t string
+		one, cancel := context.WithTimeout(ctx, c.attempt)
+		e := c.node.Call(one, v.Address, "/fleet/v1/text", digest, &t)
+		cancel()
+		if e == nil {
+			return t, nil
+		}
+		err = errors.Join(err, e)
+	}
+	return "", err
+}
+
 // all asks every voter until one has the leader's word; else it gives the latest.
 func all[T any](ctx context.Context, c *Client, path string, judge func(l, than *T) (fresh, better bool)) (T, error) {
 	var best *T
--- a/internal/quorum/quorum.go
+++ b/internal/quorum/quorum.go
@@ -31,6 +31,7 @@
 
 	"arrowhitch/internal/order"
 	"arrowhitch/internal/peer"
+	"arrowhitch/internal/release"
 )
 
 // Voter is one of those that decide.
@@ -118,9 +119,11 @@
 		db.Close()
 		return nil, fmt.Errorf("voter %q: %w", opt.Name, err)
 	}
-	n.Handle("/fleet/v1/quorum", 64<<10, s.command)
+	n.Handle("/fleet/v1/quorum", 4*release.MostText, s.command)
 	n.Handle("/fleet/v1/leases", 1<<10, s.leases)
 	n.Handle("/fleet/v1/book", 1<<10, s.orders)
+	n.Handle("/fleet/v1/releases", 1<<10, s.releases)
+	n.Handle("/fleet/v1/text", 1<<10, s.text)
 	n.Handle("/fleet/v1/voter", 1<<10, func(context.Context, []byte) (any, error) { return s.Status(), nil })
 	return s, nil
 }
@@ -434,7 +437,7 @@
 		return nil, &peer.Failure{Status: http.StatusBadRequest, Err: err}
 	}
 	switch c.Op {
-	case Acquire, Renew, Release, Revoke, Forget, Ask, Cancel, Halt, Resume:
+	case Acquire, Renew, Release, Revoke, Forget, Ask, Cancel, Halt, Resume, Put, ReleaseBegin, ReleaseHalt, ReleaseResume, ReleaseBack, ReleaseStop:
 	default:
 		return nil, &peer.Failure{Status: http.StatusBadRequest, Err: fmt.Errorf("no such command: %q", c.Op)}
 	}
@@ -475,6 +478,9 @@
 	Orders  []order.Order    `json:"orders"`
 	Budgets []order.Standing `json:"budgets"`
 	Now     time.Duration    `json:"now"` // what the times count from
+	// Want are the configurations that gateways are to have, by name; those that are to have their own files' are left out.
+	Want        map[string]string `json:"want,omitempty"`
+	WantVersion uint64            `json:"want_version"`
 }
 
 func (s *Server) orders(context.Context, []byte) (any, error) {
@@ -482,6 +488,12 @@
 	s.state.mu.Lock()
 	defer s.state.mu.Unlock()
 	o.Halted, o.Orders, o.Budgets, o.Now = s.state.book.Halted, s.state.book.List(), s.state.book.Standings(), s.state.book.Now
+	o.Want, o.WantVersion = map[string]string{}, s.state.rel.Version
+	for name := range s.state.book.Gateways {
+		if w := s.state.rel.Want(name); w != "" {
+			o.Want[name] = w
+		}
+	}
 	return o, nil
 }
 
@@ -502,6 +514,80 @@
 	return slices.Collect(maps.Values(s.state.book.Gateways))
 }
 
+// Releases are the release under way and those before it, as one voter knows them.
+type Releases struct {
+	Voter    string            `json:"voter"`
+	Fresh    bool              `json:"fresh"`
+	Term     uint64            `json:"term"`
+	Version  uint64            `json:"version"`
+	Base     string            `json:"base"` // what every gateway is to have where none is under way
+	Current  *release.Release  `json:"current,omitempty"`
+	Ended    []release.Release `json:"ended"`
+	Gateways []release.Gateway `json:"gateways"`
+	Want     map[string]string `json:"want"`
+	Now      time.Duration     `json:"now"`
+}
+
+func (s *Server) releases(context.Context, []byte) (any, error) {
+	r := Releases{Voter: s.opt.Name, Fresh: s.leading.Load() && s.raft.VerifyLeader().Error() == nil, Want: map[string]string{}}
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	b := s.state.rel
+	r.Term, r.Version, r.Base, r.Now, r.Ended = s.state.table.Term, b.Version, b.Base, b.Now, slices.Clone(b.Ended)
+	if b.Current != nil {
+		c := *b.Current
+		r.Current = &c
+	}
+	for name, g := range b.Gateways {
+		r.Gateways = append(r.Gateways, g)
+		r.Want[name] = b.Want(name)
+	}
+	slices.SortFunc(r.Gateways, func(x, y release.Gateway) int { return strings.Compare(x.Name, y.Name) })
+	// What is under way is changed in place: hand out a copy.
+	text, err := json.Marshal(r)
+	return json.RawMessage(text), err
+}
+
+// text gives a configuration by its digest.
+func (s *Server) text(_ context.Context, body []byte) (any, error) {
+	var digest string
+	if err := json.Unmarshal(body, &digest); err != nil {
+		return nil, &peer.Failure{Status: http.StatusBadRequest, Err: err}
+	}
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	t, ok := s.state.rel.Texts[digest]
+	if !ok {
+		return nil, &peer.Failure{Status: http.StatusNotFound, Err: release.ErrText}
+	}
+	return t, nil
+}
+
+// Want is what gateways are to have, by name, with a number that rises; under: a release is under way.
+func (s *Server) Want(names []string) (want map[string]string, version uint64, under bool) {
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	want = map[string]string{}
+	for _, n := range names {
+		want[n] = s.state.rel.Want(n)
+	}
+	return want, s.state.rel.Version, s.state.rel.Current != nil
+}
+
+// Shown tells whether the quorum has it that the gateways stand so; their figures aside.
+func (s *Server) Shown(l []release.Gateway) bool {
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	known := s.state.rel.Gateways
+	for _, g := range l {
+		k, ok := known[g.Name]
+		if k.Figures = g.Figures; !ok || k != g {
+			return false
+		}
+	}
+	return len(l) == len(known)
+}
+
 // Limit has the budgets agreed on, where they are not so already. It is for the leader, as the next ones are.
 func (s *Server) Limit(l []order.Budget) error {
 	s.state.mu.Lock()
@@ -518,7 +604,7 @@
 func (s *Server) See(v *Seen) error {
 	s.state.mu.Lock()
 	b := s.state.book
-	same := b.Seen >= v.Version && len(b.Gateways) == len(v.Gateways) && len(b.Endpoints) == len(v.Endpoints)
+	same := v.Release == nil && b.Seen >= v.Version && len(b.Gateways) == len(v.Gateways) && len(b.Endpoints) == len(v.Endpoints)
 	for _, g := range v.Gateways {
 		same = same && b.Gateways[g.Name] == g
 	}
--- a/internal/quorum/state.go
+++ b/internal/quorum/state.go
@@ -13,6 +13,7 @@
 
 	"arrowhitch/internal/lease"
 	"arrowhitch/internal/order"
+	"arrowhitch/internal/release"
 )
 
 // Op is what a command does.
@@ -28,6 +29,13 @@
 	Cancel  Op = "cancel" // and to come back
 	Halt    Op = "halt"   // nothing new is taken out
 	Resume  Op = "resume"
+	// Of releases: a configuration is kept, a release begins, and what is done to it by hand.
+	Put           Op = "config"
+	ReleaseBegin  Op = "release-begin"
+	ReleaseHalt   Op = "release-halt"
+	ReleaseResume Op = "release-resume"
+	ReleaseBack   Op = "release-back"
+	ReleaseStop   Op = "release-stop"
 	// The leader's own.
 	lead     Op = "lead"
 	limit    Op = "limit"
@@ -49,6 +57,10 @@
 	Budgets []order.Budget `json:"budgets,omitempty"` // limit
 	Seen    *Seen          `json:"seen,omitempty"`    // see
 
+	Plan   *release.Plan `json:"plan,omitempty"`   // release
+	Digest string        `json:"digest,omitempty"` // config
+	Text   string        `json:"text,omitempty"`   // config; else why something is done by hand
+
 	// Now is the reading of the leader's monotonic clock, set by the leader.
 	Now   time.Duration `json:"now,omitempty"`
 	Fleet string        `json:"fleet,omitempty"` // lead: the identity that the fleet was founded with
@@ -60,6 +72,8 @@
 	Version   uint64           `json:"version"` // of the view that all who answered had taken over
 	Gateways  []order.Gateway  `json:"gateways"`
 	Endpoints []order.Endpoint `json:"endpoints"`
+	// Release is what each gateway shows, while a release is under way; else nil.
+	Release []release.Gateway `json:"release,omitempty"`
 }
 
 // Result is what a command gave.
@@ -104,11 +118,12 @@
 	mu    sync.Mutex
 	table *lease.Table
 	book  *order.Book
+	rel   *release.Book
 	fleet string
 }
 
 func newState() *state {
-	return &state{table: lease.NewTable(), book: order.NewBook()}
+	return &state{table: lease.NewTable(), book: order.NewBook(), rel: release.NewBook()}
 }
 
 // Apply runs one entry. The same entries give the same state on each voter: time and term come from the entry alone.
@@ -128,6 +143,7 @@
 			return result(lease.Grant{}, err)
 		}
 		s.book.Lead(c.Now)
+		s.rel.Lead(c.Now)
 	}
 	t := s.table
 	switch c.Op {
@@ -166,6 +182,9 @@
 	case c.Op == limit:
 		return result(lease.Grant{}, b.Limit(c.Now, c.Budgets))
 	case c.Op == see && c.Seen != nil:
+		if c.Seen.Release != nil {
+			s.rel.See(c.Now, c.Seen.Release)
+		}
 		return result(lease.Grant{}, b.See(c.Now, c.Seen.Version, c.Seen.Gateways, c.Seen.Endpoints))
 	case c.Op == Ask && c.Order != nil:
 		o, err = b.Ask(c.Now, *c.Order)
@@ -176,19 +195,39 @@
 	case c.Op == progress && c.Order != nil:
 		o, err = b.Progress(c.Now, c.Order.ID, c.Order.Token, c.Order.InHand)
 	default:
-		return Result{Code: "bad", Text: fmt.Sprintf("no such command: %q", c.Op)}
+		return result(lease.Grant{}, s.applyRelease(c))
 	}
 	r := result(lease.Grant{}, err)
 	r.Order = &o
 	return r
 }
 
+func (s *state) applyRelease(c *Command) error {
+	b := s.rel
+	switch {
+	case c.Op == Put:
+		return b.Put(c.Digest, c.Text)
+	case c.Op == ReleaseBegin && c.Plan != nil:
+		return b.Begin(c.Now, *c.Plan)
+	case c.Op == ReleaseHalt:
+		return b.Halt(c.Now, c.Text)
+	case c.Op == ReleaseResume:
+		return b.Resume(c.Now)
+	case c.Op == ReleaseBack:
+		return b.Back(c.Now, c.Text)
+	case c.Op == ReleaseStop:
+		return b.Stop(c.Now, c.Text)
+	}
+	return fmt.Errorf("no such command: %q", c.Op)
+}
+
 // saved is the stored form.
 type saved struct {
 	Format int             `json:"format"`
 	Fleet  string          `json:"fleet"`
 	Table  json.RawMessage `json:"table"`
 	Book   json.RawMessage `json:"book,omitempty"` // earlier snapshots have none
+	Rel    json.RawMessage `json:"releases,omitempty"`
 }
 
 const format = 1
@@ -204,7 +243,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return json.Marshal(saved{format, s.fleet, table, book})
+	rel, err := json.Marshal(s.rel)
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(saved{format, s.fleet, table, book, rel})
 }
 
 func (s *state) load(text []byte) error {
@@ -225,9 +268,15 @@
 			return fmt.Errorf("snapshot: %w", err)
 		}
 	}
+	rel := release.NewBook()
+	if len(v.Rel) > 0 {
+		if rel, err = release.Restore(v.Rel); err != nil {
+			return fmt.Errorf("snapshot: %w", err)
+		}
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.table, s.book, s.fleet = t, book, v.Fleet
+	s.table, s.book, s.rel, s.fleet = t, book, rel, v.Fleet
 	return nil
 }
 
--- a/internal/standin/origin/origin.go
+++ b/internal/standin/origin/origin.go
@@ -193,6 +193,9 @@
 	return n
 }
 
+// Between is how many requests came later than from and no later than to.
+func (o *Origin) Between(from, to time.Time) int { return o.After(from) - o.After(to) }
+
 // Last is when the last request came; zero: none did.
 func (o *Origin) Last() time.Time {
 	o.mu.Lock()
