--- a/cmd/robindrum/try.go
+++ b/cmd/robindrum/try.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"slices"
 	"strings"
@@ -18,7 +20,7 @@
 	var rate int
 	var verbose bool
 	var scene string
-	scenes := append(slices.Clone(try.Scenes), "lease-loss")
+	scenes := append(slices.Clone(try.Scenes), "lease-loss", "release")
 	c := &cobra.Command{Use: "try", Short: "Play the main job on embedded stand-ins", Args: noArgs,
 		Long: "Start servers in two zones, a control plane and a gateway on loopback, send a bounded load and show what happens while a\n" +
 			"server is slow, one drains, one dies and the control plane goes away. Exits with 1 if a rule broke.",
@@ -33,12 +35,12 @@
 			if scene == "zone-loss" && !c.Flags().Changed("length") {
 				length = 30 * time.Second // the way back takes its time
 			}
-			if scene == "lease-loss" {
-				self, err := os.Executable()
+			if play := map[string]func(context.Context, string, io.Writer) error{"lease-loss": try.LeaseLoss, "release": try.Release}[scene]; play != nil {
+				self, err := os.Executable() // several processes of it
 				if err != nil {
 					return err
 				}
-				if err := try.LeaseLoss(c.Context(), self, out); err != nil {
+				if err := play(c.Context(), self, out); err != nil {
 					return err
 				}
 				fmt.Fprintln(out, "\nall rules kept")
--- a/internal/fleet/orders.go
+++ b/internal/fleet/orders.go
@@ -32,6 +32,7 @@
 	Endpoints []order.Endpoint `json:"endpoints,omitempty"` // those that are not well; with full all
 	// Of releases.
 	Has     string          `json:"has,omitempty"`
+	Pending bool            `json:"pending,omitempty"` // it has been taken over, and requests still go by the one before
 	Refused string          `json:"refused,omitempty"`
 	Figures release.Figures `json:"figures,omitzero"`
 }
@@ -104,6 +105,9 @@
 	}
 	r := o.agent.Ordered(t.View, t.Full)
 	r.Birth, r.Has, r.Refused = o.f.list.Self().Birth, o.has, o.refused
+	if r.Pending {
+		r.Has = "pending"
+	}
 	return r
 }
 
--- a/internal/gateway/orders.go
+++ b/internal/gateway/orders.go
@@ -98,7 +98,7 @@
 			r.Serving = false
 		}
 	}
-	r.Figures = g.figures()
+	r.Figures, r.Pending = g.figures(), g.pending != nil
 	inHand := map[[2]string]int{}
 	for name, c := range g.clusters {
 		out := map[string]bool{}
--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -380,14 +380,27 @@
 }
 
 // Fleet is what a node says of its fleet.
-func (n *Node) Fleet() (s fleet.Status, err error) { return s, n.get("/fleet", &s) }
+func (n *Node) Fleet() (s fleet.Status, err error) {
+	err = n.get("/fleet", &s)
+	return s, err
+}
 
 // Status is what a gateway says of itself.
-func (n *Node) Status() (s gateway.Status, err error) { return s, n.get("/status", &s) }
+func (n *Node) Status() (s gateway.Status, err error) {
+	err = n.get("/status", &s)
+	return s, err
+}
 
 // Order has a node's admin listener pass on an order: what is drain, undrain, halt or resume.
 func (n *Node) Order(what string, o order.Order) (x order.Order, err error) {
-	return x, n.post("/fleet/"+what, o, &x)
+	err = n.post("/fleet/"+what, o, &x)
+	return x, err
+}
+
+// Releases are the fleet's, as the quorum says to a node.
+func (n *Node) Releases() (l quorum.Releases, err error) {
+	err = n.get("/fleet/releases", &l)
+	return l, err
 }
 
 // Release has a node's admin listener pass on a command about releases.
@@ -436,7 +449,10 @@
 }
 
 // Leases are what the quorum says to a node.
-func (n *Node) Leases() (l quorum.Leases, err error) { return l, n.get("/fleet/leases", &l) }
+func (n *Node) Leases() (l quorum.Leases, err error) {
+	err = n.get("/fleet/leases", &l)
+	return l, err
+}
 
 // Holder is the node that holds a duty by its own word; nil: none does.
 func (c *Cluster) Holder(duty string) *Node {
