--- a/internal/fleet/orders.go
+++ b/internal/fleet/orders.go
@@ -261,11 +261,13 @@
 	room := make(chan struct{}, mostRound)
 	sites := map[string]bool{}
 	for i, m := range all {
-		if m.State == members.Witness || m.State == members.Dead || m.State == members.Gone {
+		// Also one that is given up: it may be cut off from the others, or just be back, and is to hear what is ordered before
+		// the fleet has found it again.
+		if m.State == members.Witness || m.State == members.Gone {
 			continue
 		}
-		full := !sites[m.Site]
-		sites[m.Site] = true
+		full := m.State != members.Dead && !sites[m.Site]
+		sites[m.Site] = sites[m.Site] || full
 		room <- struct{}{}
 		work.Go(func() {
 			defer func() { <-room }()
--- a/internal/standin/cluster/drains.go
+++ b/internal/standin/cluster/drains.go
@@ -116,12 +116,13 @@
 			i := rng.IntN(len(open))
 			o := open[i]
 			if n.Up() {
+				until := time.Now() // it may be told of before this asker is
 				if _, err := n.Order("undrain", order.Order{ID: o.id}); err == nil {
 					open = append(open[:i], open[i+1:]...)
 					if o.drain.Gateway != "" {
 						own[o.by]--
 					} else if drained >= 0 {
-						v.Late += s.Origins[drained].Between(drainedAt.Add(time.Second), time.Now())
+						v.Late += s.Origins[drained].Between(drainedAt.Add(time.Second), until)
 						drained = -1
 					}
 				}
