quorum: no order and no release while a voter of an earlier version would skip it

A voter that does not know the entries of orders and releases skips them, and would lead without what they say: seen by reading, played by hand with an earlier build as one of three voters. Each voter now says which entries it knows, and the leader refuses orders and releases, with the voter's name, while one has answered last that it does not; leases go on.

Tests for it, for a release's sections in a gateway's file, and for an endpoint held by an order (cold when it is back).

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -339,3 +339,26 @@
 		}
 	}
 }
+
+// A release's sections stand in place of the file's; what is each process's own is refused, and so is what does not fit.
+func TestSectionsOfARelease(t *testing.T) {
+	const own = "listeners: [{name: a, address: \"127.0.0.1:1\"}]\nlimits: {drain: 7s}\nclusters: [{name: c, endpoints: [{address: \"127.0.0.1:9\"}]}]\nroutes: [{match: {prefix: /}, cluster: c}]\n"
+	f, err := Parse("dir/x.yaml", []byte(own))
+	if err != nil {
+		t.Fatal(err)
+	}
+	n, err := f.With("routes: [{match: {path: /new}, cluster: d}]\nclusters: [{name: d, endpoints: [{address: \"127.0.0.1:8\"}]}]\nclasses: [{name: x}]\n")
+	if err != nil || len(n.Clusters) != 1 || n.Clusters[0].Name != "d" || n.Routes[0].Match.Path != "/new" || n.Classes[0].Name != "x" || n.Limits.Drain != Duration(7*time.Second) || n.Resolve("r") != "dir/r" {
+		t.Fatalf("%+v, %v", n, err)
+	}
+	// Behind one release another one stands in place of the file's own as well.
+	if m, err := n.With("classes: [{name: y}]\n"); err != nil || m.Clusters[0].Name != "c" {
+		t.Errorf("%+v, %v", m, err)
+	}
+	for text, want := range map[string]string{"listeners: []": "each process's own", "fleet: {}": "each process's own", "routes: [{match: {prefix: /}, cluster: none}]": "none", "- 1": "want sections",
+		"": "want sections", "a: [": "the release"} {
+		if _, err := f.With(text); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: %v", text, err)
+		}
+	}
+}
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -139,3 +139,26 @@
 		}
 	})
 }
+
+// An endpoint that an order has taken out gets nothing, whatever its source says of its health, and counts as started anew when it
+// is back; the others as they did.
+func TestHeldByAnOrder(t *testing.T) {
+	var v View
+	word := func(held bool) Word {
+		return Word{Endpoints: []Endpoint{{Address: "a", Weight: 1, Health: Degraded, Held: held}, {Address: "b", Weight: 1}}}
+	}
+	v.Take(1, word(false))
+	v.Take(2, word(true))
+	if s := v.Servers(); s[0].Out != held || s[1].Out != "" || v.Usable() != 1 {
+		t.Errorf("%+v", s)
+	}
+	v.Take(3, word(true))
+	v.Take(9, word(false))
+	if s := v.Servers(); s[0].Since != 9 || s[1].Since != 0 {
+		t.Errorf("%+v", s)
+	}
+	v.Take(12, word(false))
+	if s := v.Servers(); s[0].Since != 9 {
+		t.Errorf("cold once more: %+v", s)
+	}
+}
--- a/internal/quorum/quorum.go
+++ b/internal/quorum/quorum.go
@@ -73,6 +73,7 @@
 	name    string      // of id, which does not change
 	stopped string      // why it does not vote any more
 	leading atomic.Bool // and has counted every lease anew
+	behind  sync.Map    // voters that said last that they do not know all entries, by name
 }
 
 // Status is how a voter stands.
@@ -88,8 +89,13 @@
 	Bytes   int64   `json:"bytes"`
 	Voters  []Voter `json:"voters,omitempty"` // as agreed
 	Empty   bool    `json:"empty,omitempty"`  // it has never been in a fleet
+	Knows   int     `json:"knows"`            // which entries it knows, see entries
 }
 
+// entries is which entries of the log this program knows: 1 leases, 2 orders and releases as well. Danger: a voter that does not
+// know one skips it, and would lead without what it says.
+const entries = 2
+
 // Open takes a voter's folder and has the node answer for it. An error of the folder (ErrFolder) means that this process
 // cannot vote; it can do all else.
 func Open(n *peer.Node, opt Options) (*Server, error) {
@@ -248,7 +254,7 @@
 // Status tells how it stands.
 func (s *Server) Status() Status {
 	s.mu.Lock()
-	st := Status{Voter: s.opt.Name, ID: s.name, Fleet: s.id.Fleet, Why: s.stopped, Empty: s.id.Fleet == ""}
+	st := Status{Knows: entries, Voter: s.opt.Name, ID: s.name, Fleet: s.id.Fleet, Why: s.stopped, Empty: s.id.Fleet == ""}
 	s.mu.Unlock()
 	st.Term, st.Applied = s.raft.CurrentTerm(), s.raft.AppliedIndex()
 	if info, err := os.Stat(filepath.Join(s.opt.Dir, logFile)); err == nil {
@@ -444,6 +450,13 @@
 	if !s.leading.Load() {
 		return s.elsewhere(NotLeader), nil
 	}
+	if c.Op == Ask || c.Op == Put || c.Op == ReleaseBegin {
+		old := ""
+		s.behind.Range(func(name, _ any) bool { old = name.(string); return false })
+		if old != "" {
+			return reply{Done: true, Result: Result{Code: "bad", Text: fmt.Sprintf("voter %s is of an earlier version, which does not know orders and releases: upgrade it first", old)}}, nil
+		}
+	}
 	r, err := s.propose(c)
 	if err != nil {
 		return s.elsewhere(err.Error()), nil
@@ -652,6 +665,11 @@
 			if err != nil || st.Voter != v.Name || !s.leading.Load() {
 				continue
 			}
+			if st.Knows < entries {
+				s.behind.Store(v.Name, st.Knows)
+			} else {
+				s.behind.Delete(v.Name)
+			}
 			if err := s.admit(v, st); err != nil {
 				s.opt.Log.Warn("a voter could not be taken in", "voter", v.Name, "err", err)
 			}
--- a/internal/quorum/quorum_test.go
+++ b/internal/quorum/quorum_test.go
@@ -304,3 +304,30 @@
 		t.Errorf("token %d behind %d", got, first)
 	}
 }
+
+// While a voter is known to be of an earlier version nothing is agreed on that it would skip; leases go on.
+func TestVoterOfAnEarlierVersion(t *testing.T) {
+	fakes.Leaks(t)
+	l, c := three(t)
+	for _, v := range l {
+		v.behind.Store("v9", 1)
+	}
+	if r, _, err := c.Do(t.Context(), Command{Op: Put, Digest: "d", Text: "t"}); err != nil || !strings.Contains(r.Text, "upgrade it first") {
+		t.Errorf("%+v, %v", r, err)
+	}
+	acquire(t, c, "a")
+	for _, v := range l {
+		v.behind.Delete("v9")
+	}
+	if r, _, err := c.Do(t.Context(), Command{Op: Put, Digest: "d", Text: "t"}); err != nil || r.Err() != nil {
+		t.Errorf("%+v, %v", r, err)
+	}
+	fakes.Eventually(t, "what the voters say of themselves", func() bool {
+		for _, v := range l {
+			if _, old := v.behind.Load("v1"); old || v.Status().Knows != entries {
+				return false
+			}
+		}
+		return true
+	})
+}
