--- a/internal/fleet/orders.go
+++ b/internal/fleet/orders.go
@@ -55,12 +55,12 @@
 	view  order.View
 	known time.Duration // when the view was confirmed last; 0: never
 
-	// What is to be had, by term and version, and what is; see configure.
-	term, version uint64
-	want          string
-	has, refused  string
-	told          time.Duration // when the leader spoke last
-	news          chan struct{}
+	// What is to be had, by version, and what is; see configure.
+	version      uint64
+	want         string
+	has, refused string
+	told         time.Duration // when the leader spoke last
+	news         chan struct{}
 
 	absent map[string]time.Duration // gateways that were there and are not, since when this voter knows; its leader's loop alone has it
 }
--- a/internal/release/release_test.go
+++ b/internal/release/release_test.go
@@ -176,7 +176,6 @@
 	if n := f.has("new"); n < had || f.b.Current.State != Halted {
 		t.Errorf("%d have it, %d had, %v", n, had, f.b.Current)
 	}
-	had = f.has("new")
 	_ = f.b.Resume(f.now)
 	for f.b.Current.Wave < 2 {
 		f.round()
--- a/internal/standin/cluster/campaign.go
+++ b/internal/standin/cluster/campaign.go
@@ -106,11 +106,10 @@
 
 // play is one schedule under way.
 type play struct {
-	c     *Cluster
-	a     *Auditor
-	opt   PlayOptions
-	rng   *rand.Rand
-	began time.Duration
+	c   *Cluster
+	a   *Auditor
+	opt PlayOptions
+	rng *rand.Rand
 }
 
 // Play plays one schedule.
