keep: fields that a program does not know are handed on, not dropped

Processes of two versions work side by side during a release; what one stored or sent for the other lost its newer fields.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -21,6 +21,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"arrowhitch/internal/keep"
 )
 
 // Bounds of a table. Danger: names and members come from outside, and the table is in every snapshot.
@@ -106,6 +108,19 @@
 	Revoked bool          `json:"revoked,omitempty"` // no renewal; it is given away when its time is over
 	Heir    string        `json:"heir,omitempty"`    // whom it was left to
 	Line    []Waiter      `json:"line,omitempty"`
+	More    keep.Fields   `json:"-"` // handed on
+}
+
+// MarshalJSON and UnmarshalJSON keep the fields that this program does not know.
+func (l Lease) MarshalJSON() ([]byte, error) {
+	type plain Lease
+	return keep.Marshal(plain(l), l.More)
+}
+
+// UnmarshalJSON is the other way of MarshalJSON.
+func (l *Lease) UnmarshalJSON(text []byte) error {
+	type plain Lease
+	return keep.Unmarshal(text, (*plain)(l), &l.More)
 }
 
 // Table is all leases.
@@ -115,6 +130,19 @@
 	Last   uint64            `json:"last_token"`
 	Leases map[string]*Lease `json:"leases"`
 	Births map[string]uint64 `json:"births"` // the latest of each name that holds or waits
+	More   keep.Fields       `json:"-"`
+}
+
+// MarshalJSON and UnmarshalJSON keep the fields that this program does not know.
+func (t Table) MarshalJSON() ([]byte, error) {
+	type plain Table
+	return keep.Marshal(plain(t), t.More)
+}
+
+// UnmarshalJSON is the other way of MarshalJSON.
+func (t *Table) UnmarshalJSON(text []byte) error {
+	type plain Table
+	return keep.Unmarshal(text, (*plain)(t), &t.More)
 }
 
 // NewTable makes an empty table.
