--- a/cmd/robindrum/main.go
+++ b/cmd/robindrum/main.go
@@ -2,7 +2,8 @@
 // endpoints from the file, from files of resources, or from control planes that speak xDS.
 //
 // Exit codes: 0 all is well, 1 the command failed or its file cannot be used, 2 the command line cannot be used; of orders that
-// were waited for 3 where they are overdue 4 where they were cancelled, and of releases 5 where they halt or went back.
+// were waited for 3 where they are overdue 4 where they were cancelled, and of releases 5 where they halt or went back; 6 a supervisor gave
+// up, 10 a supervised gateway asks to be started again.
 package main
 
 import (
@@ -26,7 +27,7 @@
 		Args: noArgs, RunE: func(c *cobra.Command, _ []string) error { return c.Help() },
 		CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true}}
 	c.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return fmt.Errorf("%w: %w", err, errUsage) })
-	c.AddCommand(serveCommand(), checkCommand(), statusCommand(), tryCommand(), labCommand(), captureCommand(), planCommand(), fleetCommand(), witnessCommand(), drainCommand(), undrainCommand(), ordersCommand(), releaseCommand(), versionCommand())
+	c.AddCommand(serveCommand(), checkCommand(), statusCommand(), tryCommand(), labCommand(), captureCommand(), planCommand(), fleetCommand(), witnessCommand(), drainCommand(), undrainCommand(), ordersCommand(), releaseCommand(), superviseCommand(), versionCommand())
 	return c
 }
 
--- a/cmd/robindrum/orders.go
+++ b/cmd/robindrum/orders.go
@@ -35,8 +35,8 @@
 	var addr, owner string
 	var wait, plain bool
 	o := order.Order{}
-	c := &cobra.Command{Use: "drain", Short: "Take a gateway or an endpoint out of service, as the fleet's budgets allow", Args: noArgs,
-		Long: "Take a gateway or an endpoint out of service. The fleet's quorum grants it when the budgets allow, counting what is out by itself;\n" +
+	c := &cobra.Command{Use: "drain", Short: "Take gateways or endpoints out of service, as the fleet's budgets allow", Args: noArgs,
+		Long: "Take a gateway, an endpoint, or a zone of either out of service. The fleet's quorum grants it when the budgets allow, counting what is out by itself;\n" +
 			"until then it waits in line. It stays out until robindrum undrain, also when it is restarted or its order's asker is gone.\n" +
 			"With --wait, exit codes: 0 nothing is in hand any more, 1 refused or failed, 3 overdue, 4 cancelled.",
 		RunE: func(c *cobra.Command, _ []string) error { return c.Help() }}
@@ -63,6 +63,7 @@
 	f.StringVar(&o.Reason, "reason", "", "why")
 	f.DurationVar(&o.Grace, "grace", 30*time.Second, "how long what is in hand is waited for")
 	f.DurationVar(&o.Notice, "notice", 2*time.Second, "of it, how long a gateway still takes what comes, with its readiness off")
+	f.BoolVar(&o.Wait, "wait-for-all", false, "wait on for what a gateway has in hand when the grace is over; else it is answered then, by class")
 	f.BoolVar(&wait, "wait", false, "wait until it is done, and print each change")
 	f.BoolVar(&plain, "json", false, "print JSON, a line each")
 	c.AddCommand(&cobra.Command{Use: "gateway MEMBER", Short: "A gateway, by its member's name", Args: cobra.ExactArgs(1), RunE: func(c *cobra.Command, args []string) error {
@@ -71,6 +72,14 @@
 	}}, &cobra.Command{Use: "endpoint CLUSTER ADDRESS", Short: "An endpoint of a cluster, at every gateway", Args: cobra.ExactArgs(2), RunE: func(c *cobra.Command, args []string) error {
 		o.Target, o.Notice = order.Target{Cluster: args[0], Endpoint: args[1]}, 0
 		return run(c)
+	}}, &cobra.Command{Use: "gateways ZONE [SITE]", Short: "All gateways of a zone, together or none", Args: cobra.RangeArgs(1, 2), RunE: func(c *cobra.Command, args []string) error {
+		if o.Target = (order.Target{Zone: args[0]}); len(args) > 1 {
+			o.Target.Site = args[1]
+		}
+		return run(c)
+	}}, &cobra.Command{Use: "zone CLUSTER ZONE", Short: "All endpoints of a zone of a cluster, together or none", Args: cobra.ExactArgs(2), RunE: func(c *cobra.Command, args []string) error {
+		o.Target, o.Notice = order.Target{Cluster: args[0], Zone: args[1]}, 0
+		return run(c)
 	}})
 	return c
 }
--- a/cmd/robindrum/release.go
+++ b/cmd/robindrum/release.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -16,6 +17,7 @@
 	"arrowhitch/internal/fleet"
 	"arrowhitch/internal/quorum"
 	"arrowhitch/internal/release"
+	"arrowhitch/internal/supervise"
 )
 
 // exitBack is a release that went back, or halts.
@@ -23,9 +25,10 @@
 
 func releaseCommand() *cobra.Command {
 	var addr string
-	c := &cobra.Command{Use: "release", Short: "Take a configuration over a fleet in waves, with a halt and a way back", Args: noArgs,
+	c := &cobra.Command{Use: "release", Short: "Take a configuration or a version of the program over a fleet in waves, with a halt and a way back", Args: noArgs,
 		Long: "A release brings the sections classes, clusters, routes, rate_limits, zones and xds of a file to every gateway of the fleet; all else stays each\n" +
-			"process's own. It goes in waves: one gateway a site, a tenth, half, all, never two zones of a site in one; each is judged by what it shows.",
+			"process's own. With --program it names a version that each gateway's supervisor has: gateways are drained for it within the budgets of all drains.\n" +
+			"It goes in waves: one gateway a site, a tenth, half, all, never two zones of a site in one; each is judged by what it shows.",
 		RunE: func(c *cobra.Command, _ []string) error { return c.Help() }}
 	c.PersistentFlags().StringVarP(&addr, "admin", "a", "127.0.0.1:9901", "any process's admin `address`")
 	state := func(c *cobra.Command) (l quorum.Releases, err error) {
@@ -39,7 +42,24 @@
 		}
 		return send(c, http.MethodPost, addr, "/fleet/release", bytes.NewReader(text), io.Discard)
 	}
-	c.AddCommand(&cobra.Command{Use: "plan", Short: "Print the waves in which a release would go, without doing it", Args: noArgs, RunE: func(c *cobra.Command, _ []string) error {
+	var wait, plain bool
+	var version string
+	p := release.Plan{}
+	// what says what is to be released: a file's text, or a version.
+	what := func(args []string) (text []byte, err error) {
+		switch {
+		case (len(args) == 0) == (version == ""):
+			return nil, fmt.Errorf("want a file, or --program: %w", errUsage)
+		case version != "":
+			p.Program, p.To = true, version
+			return nil, supervise.CheckLabel(version)
+		}
+		if text, err = os.ReadFile(args[0]); err == nil {
+			p.To = fleet.ConfigDigest(text)
+		}
+		return text, err
+	}
+	planned := &cobra.Command{Use: "plan [FILE]", Short: "Print the waves in which a release would go, and what would be refused, without doing it", Args: cobra.MaximumNArgs(1), RunE: func(c *cobra.Command, args []string) error {
 		l, err := state(c)
 		if err != nil {
 			return err
@@ -47,25 +67,56 @@
 		for i, w := range release.Waves(l.Gateways) {
 			fmt.Fprintf(c.OutOrStdout(), "wave %d, %d of %d: %s\n", i+1, len(w), len(l.Gateways), strings.Join(w, " "))
 		}
+		why := ""
+		if len(args) > 0 || version != "" {
+			if _, err := what(args); err != nil {
+				return err
+			}
+			b := release.Book{Gateways: map[string]release.Gateway{}, Texts: map[string]string{p.To: ""}, Base: l.Base, Program: l.Program}
+			for _, g := range l.Gateways {
+				b.Gateways[g.Name] = g
+			}
+			why = b.Refuses(p)
+		}
 		if l.Current != nil {
-			fmt.Fprintf(c.OutOrStdout(), "it would be refused: %s is under way\n", l.Current)
+			why = l.Current.String() + " is under way"
+		}
+		var o quorum.Orders
+		if p.Program {
+			if err := ask(c, http.MethodGet, addr, "/fleet/orders", &o); err != nil {
+				return err
+			}
+			for _, b := range o.Budgets {
+				if strings.HasPrefix(b.Scope, "cluster") {
+					continue
+				}
+				fmt.Fprintf(c.OutOrStdout(), "budget %s, %s: %d of %d may be out at once, %d are\n", b.Name, b.Scope, b.Bound, b.Of, len(b.Out))
+				if b.Bound == 0 {
+					why = cmp.Or(why, "budget "+b.Name+" allows none to be out")
+				}
+			}
+		}
+		if why != "" {
+			fmt.Fprintf(c.OutOrStdout(), "it would be refused: %s\n", why)
+			return exitCode(1)
 		}
 		return nil
-	}})
-	var wait, plain bool
-	p := release.Plan{}
-	start := &cobra.Command{Use: "start FILE", Short: "Start a release of a file's sections", Args: cobra.ExactArgs(1), RunE: func(c *cobra.Command, args []string) error {
-		text, err := os.ReadFile(args[0])
+	}}
+	planned.Flags().StringVar(&version, "program", "", "a `version` of the program")
+	c.AddCommand(planned)
+	start := &cobra.Command{Use: "start [FILE]", Short: "Start a release of a file's sections, or of a version of the program", Args: cobra.MaximumNArgs(1), RunE: func(c *cobra.Command, args []string) error {
+		text, err := what(args)
 		if err != nil {
 			return err
 		}
-		p.To = fleet.ConfigDigest(text)
 		if p.ID == "" {
-			p.ID = p.To[:8]
+			p.ID = p.To[:min(8, len(p.To))]
 		}
 		p.Owner = os.Getenv("USER")
-		if err := do(c, quorum.Command{Op: quorum.Put, Digest: p.To, Text: string(text)}); err != nil {
-			return err
+		if !p.Program {
+			if err := do(c, quorum.Command{Op: quorum.Put, Digest: p.To, Text: string(text)}); err != nil {
+				return err
+			}
 		}
 		if err := do(c, quorum.Command{Op: quorum.ReleaseBegin, Plan: &p}); err != nil {
 			return err
@@ -77,6 +128,11 @@
 		return watch(c, state, p.ID, plain)
 	}}
 	f := start.Flags()
+	f.StringVar(&version, "program", "", "a `version` of the program, in place of a file")
+	f.DurationVar(&p.Grace, "grace", 30*time.Second, "with --program, how long what a gateway has in hand is waited for")
+	f.DurationVar(&p.Notice, "notice", 2*time.Second, "with --program, how long a gateway still takes what comes, with its readiness off")
+	f.Float64Var(&p.Gate.Tail, "tail", 2, "multiple of the others' p99 beyond which three of a hundred answers are too many")
+	f.Float64Var(&p.Gate.InTime, "in-time", 0.05, "part of a class's requests that may be less in time")
 	f.StringVar(&p.ID, "id", "", "the release's name; left out: the file's digest")
 	f.StringVar(&p.Reason, "reason", "", "why")
 	f.DurationVar(&p.Soak, "soak", 30*time.Second, "how long each wave shows what it does")
@@ -107,9 +163,20 @@
 		op         quorum.Op
 	}{{"halt", "Have it go no further; everyone keeps what it has", quorum.ReleaseHalt}, {"resume", "Go on with the wave that was halted", quorum.ReleaseResume},
 		{"back", "Have every gateway go back to what it had", quorum.ReleaseBack}, {"stop", "End a halted release where it stands", quorum.ReleaseStop}} {
-		c.AddCommand(&cobra.Command{Use: x.name, Short: x.what, Args: noArgs, RunE: func(c *cobra.Command, _ []string) error {
-			return do(c, quorum.Command{Op: x.op, Text: strings.TrimSpace("by hand, " + os.Getenv("USER"))})
-		}})
+		var wait, plain bool
+		hand := &cobra.Command{Use: x.name, Short: x.what, Args: noArgs, RunE: func(c *cobra.Command, _ []string) error {
+			l, err := state(c)
+			if err == nil {
+				err = do(c, quorum.Command{Op: x.op, Text: strings.TrimSpace("by hand, " + os.Getenv("USER"))})
+			}
+			if err != nil || !wait || l.Current == nil {
+				return err
+			}
+			return watch(c, state, l.Current.ID, plain)
+		}}
+		hand.Flags().BoolVar(&wait, "wait", false, "wait until the release has ended or halts; exit code 0 done, 5 halted or back")
+		hand.Flags().BoolVar(&plain, "json", false, "with --wait, print JSON, a line a change")
+		c.AddCommand(hand)
 	}
 	return c
 }
@@ -163,13 +230,13 @@
 	if l.Current != nil {
 		fmt.Fprintf(out, "%s\n", l.Current)
 	} else {
-		fmt.Fprintln(out, "no release is under way")
+		fmt.Fprintln(out, "no release is under way; requests, bad and mean are as of the end of the last one, or of the last change")
 	}
 	for i := len(l.Ended) - 1; i >= max(0, len(l.Ended)-5); i-- {
 		fmt.Fprintf(out, "  ended %s ago: %s\n", seconds((l.Now - l.Ended[i].Since).Seconds()), &l.Ended[i])
 	}
 	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "GATEWAY\tSITE\tZONE\tHAS\tIS TO HAVE\tREQUESTS\tBAD\tMEAN\tMEMORY\tREFUSED")
+	fmt.Fprintln(t, "GATEWAY\tSITE\tZONE\tHAS\tIS TO HAVE\tRUNS AS\tIS TO RUN AS\tREQUESTS\tBAD\tMEAN\tMEMORY\tREFUSED")
 	name := func(digest string) string {
 		if digest == "" {
 			return "its own file"
@@ -185,7 +252,12 @@
 		if g.Served > 0 {
 			mean = 1000 * g.Seconds / float64(g.Served)
 		}
-		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%d\t%d\t%.1f ms\t%d MiB\t%s\n", g.Name, g.Site, g.Zone, has, name(l.Want[g.Name]), g.Taken, g.Bad, mean, g.Memory>>20, g.Refused)
+		runs, to := cmp.Or(g.Program, "not supervised"), cmp.Or(l.Programs[g.Name], "-")
+		if !g.Here {
+			runs = "NO ANSWER"
+		}
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%d\t%d\t%.1f ms\t%d MiB\t%s\n", g.Name, g.Site, g.Zone, has, name(l.Want[g.Name]), runs, to, g.Taken, g.Bad, mean, g.Memory>>20,
+			strings.TrimSpace(g.Refused+" "+g.NotThis))
 	}
 	return t.Flush()
 }
--- a/cmd/robindrum/serve.go
+++ b/cmd/robindrum/serve.go
@@ -19,6 +19,7 @@
 
 	"arrowhitch/internal/config"
 	"arrowhitch/internal/gateway"
+	"arrowhitch/internal/supervise"
 )
 
 func logger(c config.Log, w io.Writer) *slog.Logger {
@@ -41,7 +42,7 @@
 			signal.Notify(hup, syscall.SIGHUP)
 			defer signal.Stop(hup)
 			ctx := c.Context()
-			if parent {
+			if parent || supervise.FromEnv() != nil {
 				var cancel context.CancelFunc
 				ctx, cancel = untilParent(ctx, c.InOrStdin())
 				defer cancel()
@@ -79,7 +80,8 @@
 	}
 	log := logger(f.Log, errs)
 	slog.SetDefault(log)
-	g, err := gateway.New(f, log)
+	child := supervise.FromEnv()
+	g, err := gateway.NewSupervised(f, log, child)
 	if err != nil {
 		return err
 	}
@@ -90,9 +92,12 @@
 	if a := g.AdminAddr(); a != nil {
 		log.Info("listening for operators", "address", a.String())
 	}
-	for ctx.Err() == nil {
+	again := false
+	for ctx.Err() == nil && !again {
 		select {
 		case <-ctx.Done():
+		case <-child.Again(): // it is drained
+			again = true
 		case <-hup:
 			n, err := config.Load(path)
 			if err != nil {
@@ -109,6 +114,9 @@
 	until, cancel := context.WithTimeout(context.WithoutCancel(ctx), f.Limits.Drain.D())
 	defer cancel()
 	g.Stop(until)
+	if again {
+		return exitCode(supervise.Again)
+	}
 	return nil
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -43,6 +43,7 @@
 	duties  []duty.Duty
 	noVote  string // why a voter does not vote from its start on
 	post    *http.Client
+	zone    string
 	orders  orders
 	life    context.Context // of the duties
 	end     context.CancelFunc
@@ -103,6 +104,7 @@
 	f.client = quorum.NewClient(f.node, voters, min(2*c.Quorum.Heartbeat.D(), c.Lease.D()/4), now)
 	// Births rise with each start as long as the clock does not go back by more than a process lives.
 	self := members.Member{Name: c.Member, Site: c.Site, Zone: zone, Program: Version(), Config: version, Birth: uint64(time.Now().UnixNano()), State: state, Address: c.Advertise}
+	f.zone = zone
 	f.runner = duty.NewRunner(f.client, duty.Options{Member: lease.Member{Name: c.Member, Birth: self.Birth, Site: c.Site}, Now: now, Log: log})
 	for _, p := range c.Posts {
 		f.Add(duty.Duty{Name: "post/" + p.Name, Rules: f.Rules(""), Run: f.poster(p)})
@@ -128,6 +130,9 @@
 // Members are who is there.
 func (f *Fleet) Members() members.View { return f.list }
 
+// Zone is this process's zone.
+func (f *Fleet) Zone() string { return f.zone }
+
 // Conf is what it was made from.
 func (f *Fleet) Conf() *config.Fleet { return f.conf }
 
@@ -264,6 +269,8 @@
 	// Stale says what needs the quorum and has not had it for longer than a lease.
 	Stale string        `json:"stale,omitempty"`
 	Now   time.Duration `json:"now"`
+	// Book is what a voter has of orders and releases; nil: this process does not vote.
+	Book *quorum.Summary `json:"book,omitempty"`
 }
 
 // Status tells how it stands.
@@ -274,6 +281,8 @@
 	if f.server != nil {
 		v := f.server.Status()
 		s.Vote = &v
+		b := f.server.Summary()
+		s.Book = &b
 	}
 	if len(f.duties) > 0 && s.Contact.Error != "" && (s.Contact.Age < 0 || s.Contact.Age > f.conf.Lease.D()) {
 		s.Stale = "no word of the quorum: nobody takes a duty over, what is served stays as it is"
--- a/internal/fleet/orders.go
+++ b/internal/fleet/orders.go
@@ -35,6 +35,23 @@
 	Pending bool            `json:"pending,omitempty"` // it has been taken over, and requests still go by the one before
 	Refused string          `json:"refused,omitempty"`
 	Figures release.Figures `json:"figures,omitzero"`
+	Program string          `json:"program,omitempty"`  // the version that it is supervised as
+	NotThis string          `json:"not_this,omitempty"` // why it does not start as the version that it was told
+}
+
+// Program is this process's place under a supervisor. Its methods are called by one goroutine at a time.
+type Program interface {
+	// Refuses says why this process would not start as a version; empty: it would.
+	Refuses(version string) string
+	// Ask has this process end and start as another version.
+	Ask(version string) error
+	// Return has it end and the version before start in its place.
+	Return(why string) error
+	// Proved tells that this version has been seen at work; Forgive has what was given up tried again when it is asked for.
+	Proved() error
+	Forgive() error
+	// Trial tells whether this version is still to be proved.
+	Trial() bool
 }
 
 // Agent is the gateway that takes orders. Ordered is called by one goroutine at a time, and each time with a view that is no
@@ -48,8 +65,10 @@
 
 // orders is a process's part in them: it takes what it is told, and tells the others while its voter leads.
 type orders struct {
-	f     *Fleet
-	agent Agent
+	f       *Fleet
+	agent   Agent
+	program Program // nil: nobody supervises this process
+	runs    string  // the version that it is supervised as
 
 	mu    sync.Mutex
 	view  order.View
@@ -60,8 +79,12 @@
 	want         string
 	has, refused string
 	told         time.Duration // when the leader spoke last
+	wantProgram  string
+	notThis      string
+	forgiven     bool
 	news         chan struct{}
 
+	shown  time.Duration            // when figures were agreed last
 	absent map[string]time.Duration // gateways that were there and are not, since when this voter knows; its leader's loop alone has it
 }
 
@@ -71,8 +94,12 @@
 	Full    bool       `json:"full"`
 	Want    string     `json:"want"` // the configuration that this gateway is to have
 	Version uint64     `json:"version"`
+	Program string     `json:"program,omitempty"` // the version that it is to run as; empty: the one that it does
 }
 
+// Supervised has this process started as other versions by releases. It is called before Start.
+func (f *Fleet) Supervised(version string, p Program) { f.orders.program, f.orders.runs = p, version }
+
 // Serve has the fleet's orders taken by a gateway. It is called before Start.
 func (f *Fleet) Serve(a Agent) {
 	f.orders.agent = a
@@ -103,7 +130,9 @@
 		default:
 		}
 	}
+	o.follow(t.Program)
 	r := o.agent.Ordered(t.View, t.Full)
+	r.Program, r.NotThis = o.runs, o.notThis
 	r.Birth, r.Has, r.Refused = o.f.list.Self().Birth, o.has, o.refused
 	if r.Pending {
 		r.Has = "pending"
@@ -111,6 +140,38 @@
 	return r
 }
 
+// follow notes the version that this process is to run as. What is in hand is seen to by the order that comes with it.
+func (o *orders) follow(want string) {
+	if o.program == nil {
+		return
+	}
+	if o.wantProgram != want {
+		o.wantProgram, o.notThis = want, ""
+	}
+	switch {
+	case want == "" || want == o.runs:
+		o.notThis = ""
+		if !o.forgiven && o.program.Forgive() == nil { // this release of it is over
+			o.forgiven = true
+		}
+	default:
+		o.forgiven = false
+		o.notThis = o.program.Refuses(want)
+	}
+}
+
+// Restart has this process end and start as another version. It is called by the agent, in Ordered.
+func (f *Fleet) Restart(version string) {
+	o := &f.orders
+	if o.program == nil || version == o.runs {
+		return
+	}
+	if err := o.program.Ask(version); err != nil {
+		o.notThis = err.Error()
+		f.log.Error("cannot start as another version", "version", version, "err", err)
+	}
+}
+
 // deadMan is so many heartbeats: a gateway that has a new configuration and is told nothing for so long goes back by itself.
 const deadMan = 20
 
@@ -119,10 +180,23 @@
 	beat := o.f.conf.Quorum.Heartbeat.D()
 	tick := time.NewTicker(beat)
 	defer tick.Stop()
+	born, trial := o.f.now(), o.program != nil && o.program.Trial()
 	before, since := "", time.Duration(0) // what was in use, and since when another one is that nobody has seen at work yet
 	for {
 		o.mu.Lock()
 		want, has, refused, heard := o.want, o.has, o.refused, o.told
+		switch {
+		case trial && heard > 0:
+			if err := o.program.Proved(); err != nil {
+				o.f.log.Warn("the version's trial goes on", "err", err)
+			}
+			trial = false
+		case trial && o.f.now()-born > deadMan*beat:
+			if err := o.program.Return("with it nobody is heard of"); err != nil {
+				o.f.log.Error("cannot go back to the version before", "err", err)
+			}
+			trial = false
+		}
 		o.mu.Unlock()
 		switch {
 		case since > 0 && heard > since:
@@ -224,8 +298,7 @@
 			continue
 		}
 		// Where nothing is ordered looking now and then is enough.
-		_, _, under := o.f.server.Want(nil)
-		if idle++; len(o.f.server.View().Out) > 0 || under || idle >= 4 {
+		if idle++; len(o.f.server.View().Out) > 0 || o.f.server.Want(nil).Under || idle >= 4 {
 			idle = 0
 			if err := o.round(ctx); err != nil && ctx.Err() == nil {
 				o.f.log.Debug("a round of orders", "err", err)
@@ -255,7 +328,7 @@
 	for _, m := range all {
 		names = append(names, m.Name)
 	}
-	want, version, under := s.Want(names)
+	want := s.Want(names)
 	reports := make([]*Report, len(all))
 	var work sync.WaitGroup
 	room := make(chan struct{}, mostRound)
@@ -274,7 +347,7 @@
 			one, cancel := context.WithTimeout(ctx, 2*f.conf.Quorum.Heartbeat.D())
 			defer cancel()
 			var r Report
-			if f.node.Call(one, m.Address, ordersPath, told{view, full, want[m.Name], version}, &r) == nil && r.Version >= view.Version {
+			if f.node.Call(one, m.Address, ordersPath, told{view, full, want.Config[m.Name], want.Version, want.Program[m.Name]}, &r) == nil && r.Version >= view.Version {
 				reports[i] = &r
 			}
 		})
@@ -306,13 +379,18 @@
 		}
 		seen.Gateways = append(seen.Gateways, g)
 		if r := reports[i]; r != nil {
-			seen.Release = append(seen.Release, release.Gateway{Name: g.Name, Site: g.Site, Zone: g.Zone, Birth: g.Birth, Here: true, Has: r.Has, Refused: r.Refused, Figures: r.Figures})
+			seen.Release = append(seen.Release, release.Gateway{Name: g.Name, Site: g.Site, Zone: g.Zone, Birth: g.Birth, Here: true, Has: r.Has, Refused: r.Refused, Serving: r.Serving,
+				Program: r.Program, NotThis: r.NotThis, Figures: r.Figures})
 		} else {
 			seen.Release = append(seen.Release, release.Gateway{Name: g.Name, Site: g.Site, Zone: g.Zone, Birth: g.Birth})
 		}
 	}
-	if !under && s.Shown(seen.Release) { // a release begins with what is known then
+	// A release begins with what is known then. While it is under way figures are agreed often enough for its soak, and no more: they
+	// go into the log.
+	if every := min(want.Soak/20, time.Second); (!want.Under || f.now()-o.shown < every) && s.Shown(seen.Release) {
 		seen.Release = nil
+	} else {
+		o.shown = f.now()
 	}
 	// One that has left is missing all the same, until it is back or forgotten.
 	there := map[string]bool{}
@@ -352,7 +430,19 @@
 	for _, x := range view.Out {
 		// A gateway says itself; of an endpoint every gateway that is not known to be dead has to say.
 		n, ok := inHand[x.ID]
-		if !x.State.Out() || !ok || x.Target.Gateway == "" && heard[x.ID] < alive || x.State == order.Done && n == 0 {
+		least := alive
+		switch {
+		case x.Target.Gateway != "":
+			least = 1
+		case x.Target.OfGateways():
+			least = 0
+			for _, m := range all {
+				if x.Target.HasGateway(m.Name, m.Site, m.Zone) && m.State != members.Dead && m.State != members.Gone && m.State != members.Witness {
+					least++
+				}
+			}
+		}
+		if !x.State.Out() || !ok || heard[x.ID] < least || x.State == order.Done && n == 0 {
 			continue
 		}
 		if err := s.Progress(x, n); err != nil {
--- a/internal/gateway/admin.go
+++ b/internal/gateway/admin.go
@@ -161,6 +161,10 @@
 		"fduty":      newMetric(v, "fleet_duty_held", "1 where this process holds the duty.", "duty"),
 		"fheld":      newMetric(c, "fleet_duty_grants_total", "How often this process was granted the duty.", "duty"),
 		"foverdue":   newMetric(c, "fleet_duty_overdue_total", "How often the duty did not end before its lease.", "duty"),
+		"fbudget":    newMetric(v, "fleet_budget", "How the budgets of drains stand, by this voter's book: what may be out, and what is.", "budget", "scope", "what"),
+		"forders":    newMetric(v, "fleet_orders", "Orders by state, by this voter's book.", "state"),
+		"fhalted":    newMetric(v, "fleet_orders_halted", "1 where nothing new is taken out, by this voter's book."),
+		"frelease":   newMetric(v, "fleet_release", "1 for the state of the release under way, by this voter's book.", "state"),
 		"fmode":      newMetric(v, "fleet_subscription", "1 for where this gateway's word of the control plane comes from.", "mode"),
 		"fheard":     newMetric(v, "fleet_subscription_heard_seconds", "Since a holder of the subscription last spoke."),
 	}
--- a/internal/gateway/capture.go
+++ b/internal/gateway/capture.go
@@ -14,6 +14,11 @@
 // ended hands a request that has its answer to the recording under way, if there is one. It is called with a core's lock
 // held, and never waits.
 func (g *Gateway) ended(e node.Ended) {
+	if g.fleet != nil {
+		class := strings.TrimSuffix(e.Words.Class, unkeyed)
+		wanted, known := g.routes.Load().wanted[class]
+		g.shows.add(class, e.Outcome, e.Took, known && e.Took <= wanted)
+	}
 	r := g.recorder.Load()
 	if r == nil {
 		return
--- a/internal/gateway/cluster.go
+++ b/internal/gateway/cluster.go
@@ -19,6 +19,7 @@
 	"arrowhitch/internal/limit"
 	"arrowhitch/internal/membership"
 	"arrowhitch/internal/node"
+	"arrowhitch/internal/order"
 	"arrowhitch/internal/xds"
 	"arrowhitch/internal/zone"
 	"arrowhitch/logic"
@@ -444,10 +445,11 @@
 
 // tell hands a source's word to a cluster's cores.
 func (g *Gateway) tell(c *cluster, w membership.Word) {
-	if held := g.held[c.name]; len(held) > 0 {
+	if len(g.held) > 0 {
 		w.Endpoints = slices.Clone(w.Endpoints)
 		for i := range w.Endpoints {
-			w.Endpoints[i].Held = held[w.Endpoints[i].Address]
+			e := &w.Endpoints[i]
+			e.Held = slices.ContainsFunc(g.held, func(t order.Target) bool { return t.HasEndpoint(c.name, e.Address, e.Zone) })
 		}
 	}
 	u := c.view.Take(g.Now(), w)
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -2,12 +2,17 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"arrowhitch/internal/config"
 	"arrowhitch/internal/duty"
 	"arrowhitch/internal/fleet"
 	"arrowhitch/internal/members"
+	"arrowhitch/internal/node"
+	"arrowhitch/internal/order"
+	"arrowhitch/internal/release"
+	"arrowhitch/logic"
 )
 
 // leaveFleet bounds how long a process that ends says so to its fleet.
@@ -76,7 +81,21 @@
 		g.mu.Lock()
 		drained := g.drain != nil
 		g.refuses.Store(drained && g.Now()-g.drainAt >= g.drain.Notice)
+		late := drained && !g.drain.Wait && !g.expired && g.Now()-g.drainAt >= g.drain.Grace
+		id := ""
+		var cores []*node.Core
+		if late {
+			g.expired, id = true, g.drain.ID
+			cores = g.cores()
+		}
 		g.mu.Unlock()
+		if late {
+			n := 0
+			for _, c := range cores {
+				n += c.Expire(last(f))
+			}
+			g.log.Info("the grace of an order is over: what was in hand is answered", "id", id, "requests", n)
+		}
 		switch {
 		case drained:
 			s = members.Draining
@@ -90,6 +109,43 @@
 	}
 }
 
+// cores are all that may have something in hand.
+func (g *Gateway) cores() (l []*node.Core) {
+	for _, c := range g.clusters {
+		l = append(l, c.in.core)
+	}
+	for in := range g.old {
+		l = append(l, in.core)
+	}
+	return l
+}
+
+// last words the answer of a request that outlives the grace of an order, by its class.
+func last(f *config.File) func(logic.Request, bool) node.Answer {
+	effects := map[string]string{}
+	for _, c := range f.Classes {
+		effects[c.Name] = effectName(c.Effect)
+	}
+	return func(w logic.Request, sent bool) node.Answer {
+		status, again := order.Last(effects[w.Class], sent) // a class that is not known, and a keyed one without a key, count as unsafe
+		a := node.Answer{Status: status, Header: http.Header{}, Body: []byte("this gateway is taken out of service\n")}
+		if again {
+			a.RetryAfter = time.Second
+		}
+		return a
+	}
+}
+
+func effectName(e config.Effect) string {
+	switch logic.Effect(e) {
+	case logic.Safe:
+		return "safe"
+	case logic.Keyed:
+		return "keyed"
+	}
+	return "unsafe"
+}
+
 // collectFleet gives the fleet's metrics.
 func collectFleet(s *fleet.Status, put func(name string, v float64, labels ...string)) {
 	states := map[members.State]int{members.Joining: 0, members.Serving: 0, members.Draining: 0, members.Leaving: 0, members.Witness: 0, members.Suspect: 0, members.Dead: 0}
@@ -111,6 +167,27 @@
 			put("fvote", n, state)
 		}
 	}
+	if b := s.Book; b != nil {
+		for _, state := range []order.State{order.Asked, order.Granted, order.UnderWay, order.Done, order.Overdue, order.Cancelled} {
+			put("forders", float64(b.Orders[state]), string(state))
+		}
+		halted := 0.0
+		if b.Halted {
+			halted = 1
+		}
+		put("fhalted", halted)
+		for _, state := range []release.State{release.Running, release.Halted, release.Going} {
+			is := 0.0
+			if b.Release == state {
+				is = 1
+			}
+			put("frelease", is, string(state))
+		}
+		for _, g := range b.Budgets {
+			put("fbudget", float64(g.Bound), g.Name, g.Scope, "may be out")
+			put("fbudget", float64(len(g.Out)), g.Name, g.Scope, "out")
+		}
+	}
 	for _, d := range s.Duties {
 		held := 0.0
 		if d.State == duty.Holding {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -29,6 +29,7 @@
 	"arrowhitch/internal/node"
 	"arrowhitch/internal/order"
 	"arrowhitch/internal/route"
+	"arrowhitch/internal/supervise"
 	"arrowhitch/internal/xds"
 	"arrowhitch/logic"
 )
@@ -71,10 +72,13 @@
 	limits    []*rateLimit
 	pending   *pending
 	stopping  bool
-	held      map[string]map[string]bool // endpoints that orders have taken out, by cluster
-	drain     *order.Order               // that has taken this gateway out; nil: none
-	drainAt   time.Duration              // when it was heard of
-	ordered   bool                       // it is known what is ordered, or it was waited for long enough
+	held      []order.Target // endpoints, and zones of clusters, that orders have taken out
+	drain     *order.Order   // that has taken this gateway out; nil: none
+	drainAt   time.Duration  // when it was heard of
+	expired   bool           // what it had in hand at the end of the grace was answered
+	ordered   bool           // it is known what is ordered, or it was waited for long enough
+
+	shows shows // of requests that have ended
 
 	refuses atomic.Bool   // nothing new is taken, by an order
 	nowhere atomic.Uint64 // requests that no core took: no route, a rate limit, out of service
@@ -93,6 +97,7 @@
 	clusters map[string]*cluster
 	keyed    map[string]bool // classes whose requests need a key to be sent twice
 	limits   []*rateLimit
+	wanted   map[string]time.Duration // by class: an answer within it is in time
 }
 
 // pending is a routing that waits until the clusters that it names anew have endpoints.
@@ -108,7 +113,10 @@
 
 // New checks that a configuration can be run and opens its listeners; nothing is served before Run. The logger's level
 // and format are the caller's.
-func New(f *config.File, log *slog.Logger) (*Gateway, error) {
+func New(f *config.File, log *slog.Logger) (*Gateway, error) { return NewSupervised(f, log, nil) }
+
+// NewSupervised is New of a process that is supervised, which releases have started as other versions; nil: it is not.
+func NewSupervised(f *config.File, log *slog.Logger, child *supervise.Child) (*Gateway, error) {
 	g := &Gateway{log: log, boot: time.Now(), budget: backend.NewBudget(descriptors(f.Limits.Descriptors, log)),
 		memory: limit.NewPool(int64(f.Limits.Memory)), open: limit.NewPool(int64(f.Limits.Requests)),
 		listeners: map[string]*listener{}, feeds: map[string]*feed{}, clusters: map[string]*cluster{}, old: map[*instance]struct{}{}, past: map[string]*past{}}
@@ -118,6 +126,9 @@
 	g.routes.Store(&routing{file: &route.Table{}, clusters: map[string]*cluster{}})
 	g.local = f
 	err := g.joinFleet(f)
+	if child != nil && g.fleet != nil {
+		g.fleet.Supervised(child.Version, child)
+	}
 	if err == nil {
 		g.mu.Lock()
 		err = g.take(f, true)
@@ -383,7 +394,7 @@
 // configuration's; nil: the one in use.
 func (g *Gateway) sync(table *route.Table) {
 	g.syncClusters()
-	r := &routing{file: table, clusters: maps.Clone(g.clusters), keyed: map[string]bool{}}
+	r := &routing{file: table, clusters: maps.Clone(g.clusters), keyed: map[string]bool{}, wanted: map[string]time.Duration{}}
 	if table == nil {
 		r.file = g.routes.Load().file
 		if g.pending != nil {
@@ -391,6 +402,7 @@
 		}
 	}
 	for _, c := range g.file.Classes {
+		r.wanted[c.Name] = c.Wanted.D()
 		if logic.Effect(c.Effect) == logic.Keyed {
 			r.keyed[c.Name] = true
 		}
@@ -423,7 +435,7 @@
 	}
 	// What is new of the clusters counts at once; where requests go changes later.
 	cur := *g.routes.Load()
-	cur.clusters, cur.keyed, cur.limits = r.clusters, r.keyed, r.limits
+	cur.clusters, cur.keyed, cur.limits, cur.wanted = r.clusters, r.keyed, r.limits, r.wanted
 	g.routes.Store(&cur)
 	p := &pending{routing: r, since: since}
 	p.timer = time.AfterFunc(wait, func() {
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -213,6 +213,31 @@
 	})
 }
 
+// Expire gives every request in hand that has no answer yet its one answer now, as say words it: sent tells whether an attempt may
+// have run. What is being passed on to a client goes on. It gives how many were answered.
+func (n *Core) Expire(say func(w logic.Request, sent bool) Answer) (count int) {
+	n.do(func(now time.Duration) {
+		for _, q := range n.requests {
+			if q.answered {
+				continue
+			}
+			a := say(q.Words, len(q.attempts) > 0)
+			n.settle(q, a)
+			count++
+			if a.Status == http.StatusServiceUnavailable {
+				n.stats.Refused++
+				n.ended(now, q, OutcomeRefused)
+			} else {
+				n.stats.Failed++
+				n.ended(now, q, OutcomeFailed)
+			}
+			n.bal.Gone(now, q.id)
+			n.release(q)
+		}
+	})
+	return count
+}
+
 // Retire has the core take nothing more. What it gives is closed once nothing is in hand.
 func (n *Core) Retire() <-chan struct{} {
 	n.do(func(time.Duration) {
@@ -281,7 +306,13 @@
 func (n *Core) InHand() int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.open
+	in := n.open
+	for _, q := range n.requests {
+		if q.stream != nil { // answered, and still being passed on
+			in++
+		}
+	}
+	return in
 }
 
 func (n *Core) now() time.Duration { return n.base + time.Since(n.boot) }
--- a/internal/order/order.go
+++ b/internal/order/order.go
@@ -17,6 +17,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"arrowhitch/internal/keep"
 )
 
 // Bounds: texts come from outside, and the book is in every snapshot.
@@ -25,6 +27,7 @@
 	mostBudgets   = 64
 	mostGateways  = 4096
 	mostEndpoints = 20_000
+	mostMore      = 16  // unknown fields of one
 	mostText      = 256 // bytes of an id, owner or reason
 	// MostGrace bounds how long what is in hand is waited for.
 	MostGrace = time.Hour
@@ -32,18 +35,37 @@
 	keepEnded = 24 * time.Hour
 )
 
-// Target is what an order is about. One of Gateway and Endpoint is set.
+// Target is what an order is about: a gateway, an endpoint of a cluster, a zone of a site's gateways, or a zone of a cluster.
 type Target struct {
 	Gateway  string `json:"gateway,omitempty"`  // a member's name
-	Cluster  string `json:"cluster,omitempty"`  // with Endpoint
+	Cluster  string `json:"cluster,omitempty"`  // with Endpoint or Zone
 	Endpoint string `json:"endpoint,omitempty"` // address
+	Site     string `json:"site,omitempty"`     // with Zone, of gateways
+	Zone     string `json:"zone,omitempty"`
 }
 
 func (t Target) String() string {
-	if t.Gateway != "" {
+	switch {
+	case t.Gateway != "":
 		return "gateway " + t.Gateway
+	case t.Endpoint != "":
+		return "endpoint " + t.Cluster + "/" + t.Endpoint
+	case t.Cluster != "":
+		return "zone " + t.Zone + " of cluster " + t.Cluster
 	}
-	return "endpoint " + t.Cluster + "/" + t.Endpoint
+	return strings.TrimSpace("gateways of zone " + t.Zone + " " + t.Site)
+}
+
+// OfGateways tells whether a target is gateways; else it is endpoints.
+func (t Target) OfGateways() bool { return t.Cluster == "" }
+
+// HasGateway tells whether a gateway of a site and zone is in the target, HasEndpoint whether a cluster's endpoint in a zone is.
+func (t Target) HasGateway(name, site, zone string) bool {
+	return t.OfGateways() && (t.Gateway == name && name != "" || t.Gateway == "" && t.Zone != "" && t.Zone == zone && t.Site == site)
+}
+
+func (t Target) HasEndpoint(cluster, address, zone string) bool {
+	return t.Cluster != "" && t.Cluster == cluster && (t.Endpoint == address && address != "" || t.Endpoint == "" && t.Zone != "" && t.Zone == zone)
 }
 
 // State is where an order stands.
@@ -80,6 +102,11 @@
 	// Notice, with its readiness off, so that those before it can turn away.
 	Grace  time.Duration `json:"grace"`
 	Notice time.Duration `json:"notice,omitempty"`
+	// Wait: what a gateway has in hand when Grace is over is waited for on; else it is answered there, see Last.
+	Wait bool `json:"wait,omitempty"`
+	// Restart is the version of the program as which a gateway is to start anew once it has nothing in hand; empty: it stays.
+	Restart string      `json:"restart,omitempty"`
+	More    keep.Fields `json:"-"` // handed on
 
 	State State  `json:"state"`
 	Why   string `json:"why,omitempty"` // of refused, and of asked: what it waits for
@@ -92,6 +119,18 @@
 	At     uint64        `json:"at"`                // the book's version at the last change of State
 }
 
+// MarshalJSON and UnmarshalJSON keep the fields that this program does not know.
+func (o Order) MarshalJSON() ([]byte, error) {
+	type plain Order
+	return keep.Marshal(plain(o), o.More)
+}
+
+// UnmarshalJSON is the other way of MarshalJSON.
+func (o *Order) UnmarshalJSON(text []byte) error {
+	type plain Order
+	return keep.Unmarshal(text, (*plain)(o), &o.More)
+}
+
 // Scope is what a budget counts.
 type Scope struct {
 	// Gateways of all sites, or of one; a site's by zone, or of one zone.
@@ -159,7 +198,20 @@
 	Endpoints map[string]Endpoint `json:"endpoints"`
 	Halted    bool                `json:"halted,omitempty"` // nothing new is granted
 	// Seen is the version that everyone who was asked had taken over when it said what Gateways and Endpoints have.
-	Seen uint64 `json:"seen"`
+	Seen uint64      `json:"seen"`
+	More keep.Fields `json:"-"`
+}
+
+// MarshalJSON and UnmarshalJSON keep the fields that this program does not know.
+func (b Book) MarshalJSON() ([]byte, error) {
+	type plain Book
+	return keep.Marshal(plain(b), b.More)
+}
+
+// UnmarshalJSON is the other way of MarshalJSON.
+func (b *Book) UnmarshalJSON(text []byte) error {
+	type plain Book
+	return keep.Unmarshal(text, (*plain)(b), &b.More)
 }
 
 // NewBook makes an empty one.
@@ -221,7 +273,7 @@
 func (b *Book) Ask(now time.Duration, o Order) (Order, error) {
 	b.at(now)
 	if old := b.Orders[o.ID]; old != nil {
-		if old.Target != o.Target {
+		if old.Target != o.Target || old.Restart != o.Restart {
 			return *old, ErrOther
 		}
 		b.settle()
@@ -231,7 +283,8 @@
 		return o, err
 	}
 	b.Seq++
-	x := &Order{ID: o.ID, Target: o.Target, Owner: o.Owner, Reason: o.Reason, Grace: o.Grace, Notice: o.Notice, Seq: b.Seq}
+	x := &Order{ID: o.ID, Target: o.Target, Owner: o.Owner, Reason: o.Reason, Grace: o.Grace, Notice: o.Notice, Wait: o.Wait, Restart: o.Restart,
+		More: o.More, Seq: b.Seq}
 	b.Orders[o.ID] = x
 	if why := b.never(x); why != "" {
 		b.set(x, Refused, why)
@@ -243,17 +296,28 @@
 }
 
 func (b *Book) check(o *Order) error {
-	for field, s := range map[string]string{"id": o.ID, "owner": o.Owner, "reason": o.Reason, "gateway": o.Target.Gateway, "cluster": o.Target.Cluster, "endpoint": o.Target.Endpoint} {
+	for field, s := range map[string]string{"id": o.ID, "owner": o.Owner, "reason": o.Reason, "gateway": o.Target.Gateway, "cluster": o.Target.Cluster, "endpoint": o.Target.Endpoint,
+		"site": o.Target.Site, "zone": o.Target.Zone, "restart": o.Restart} {
 		if len(s) > mostText {
 			return fmt.Errorf("%s: %d bytes, %d at most", field, len(s), mostText)
 		}
 	}
+	t, kinds := o.Target, 0
+	for _, s := range []string{t.Gateway, t.Endpoint, t.Zone} {
+		if s != "" {
+			kinds++
+		}
+	}
 	switch {
 	case o.ID == "":
 		return errors.New("id: is missing")
-	case (o.Target.Gateway == "") == (o.Target.Endpoint == ""):
-		return errors.New("target: want a gateway or an endpoint")
-	case strings.ContainsAny(o.Target.Gateway+o.Target.Endpoint+o.Target.Cluster, "*?"):
+	case kinds != 1 || t.Gateway != "" && t.Cluster+t.Site != "" || t.Endpoint != "" && (t.Cluster == "" || t.Site != "") || t.Zone != "" && t.Cluster != "" && t.Site != "":
+		return errors.New("target: want a gateway, an endpoint of a cluster, a zone of a site, or a zone of a cluster")
+	case o.Restart != "" && t.Gateway == "":
+		return errors.New("restart: is for one gateway")
+	case len(o.More) > mostMore:
+		return fmt.Errorf("%d fields that are not known, %d at most", len(o.More), mostMore)
+	case strings.ContainsAny(t.Gateway+t.Endpoint+t.Cluster+t.Site+t.Zone, "*?"):
 		return errors.New("target: patterns are not taken: name each")
 	case o.Grace <= 0:
 		return fmt.Errorf("grace: %v is in the past", o.Grace)
@@ -276,39 +340,74 @@
 
 // never says why an order cannot ever be granted as the fleet is; empty: it can.
 func (b *Book) never(o *Order) string {
-	if !b.known(o.Target) && len(b.Gateways) > 0 { // else nobody has looked yet
+	members := b.members(o.Target)
+	if len(members) == 0 {
+		if len(b.Gateways) == 0 { // nobody has looked yet
+			return ""
+		}
 		return "nobody knows of " + o.Target.String()
 	}
-	for _, c := range b.counts(o.Target) {
-		if c.bound == 0 {
-			return fmt.Sprintf("budget %s allows none of %d to be out", c.name, c.of)
+	for _, m := range members {
+		for _, c := range b.counts(m) {
+			switch n := c.among(members); {
+			case c.bound == 0:
+				return fmt.Sprintf("budget %s allows none of %d to be out", c.name, c.of)
+			case n > c.bound:
+				return fmt.Sprintf("budget %s allows %d of %d to be out, this is %d", c.name, c.bound, c.of, n)
+			}
 		}
 	}
 	return ""
 }
 
-func (b *Book) known(t Target) (ok bool) {
-	if t.Gateway != "" {
-		_, ok = b.Gateways[t.Gateway]
-	} else {
-		_, ok = b.Endpoints[t.key()]
+// members are the gateways or endpoints that a target stands for, as far as they are known.
+func (b *Book) members(t Target) (l []Target) {
+	if t.OfGateways() {
+		for _, name := range slices.Sorted(maps.Keys(b.Gateways)) {
+			if g := b.Gateways[name]; t.HasGateway(name, g.Site, g.Zone) {
+				l = append(l, Target{Gateway: name})
+			}
+		}
+		return l
 	}
-	return ok
+	if t.Endpoint != "" {
+		if _, ok := b.Endpoints[t.key()]; ok {
+			l = append(l, t)
+		}
+		return l
+	}
+	for _, key := range slices.Sorted(maps.Keys(b.Endpoints)) {
+		if e := b.Endpoints[key]; t.HasEndpoint(e.Cluster, e.Address, e.Zone) {
+			l = append(l, Target{Cluster: e.Cluster, Endpoint: e.Address})
+		}
+	}
+	return l
 }
 
-// count is one budget as it stands for a target.
+// count is one budget as it stands for a gateway or an endpoint.
 type count struct {
 	name      string
 	of, bound int
-	out       map[string]bool // with what orders hold
+	in        map[string]bool // all that it counts
+	out       map[string]bool // of them, with what orders hold
+}
+
+// among is how many of some it counts.
+func (c *count) among(l []Target) (n int) {
+	for _, t := range l {
+		if c.in[t.key()] {
+			n++
+		}
+	}
+	return n
 }
 
-// counts gives the budgets that a target falls under.
+// counts gives the budgets that a gateway or an endpoint falls under.
 func (b *Book) counts(t Target) (l []count) {
 	for i := range b.Budgets {
 		g := &b.Budgets[i]
 		s := &g.Scope
-		c := count{name: g.Name, out: map[string]bool{}}
+		c := count{name: g.Name, in: map[string]bool{}, out: map[string]bool{}}
 		if t.Gateway != "" {
 			me, known := b.Gateways[t.Gateway]
 			if !s.Gateways || !known || s.Site != "" && s.Site != me.Site || s.Zone != "" && s.Zone != me.Zone {
@@ -318,7 +417,8 @@
 				if s.Site != "" && x.Site != s.Site || s.Zone != "" && x.Zone != s.Zone || s.EachSite && x.Site != me.Site || s.EachZone && (x.Zone != me.Zone || x.Site != me.Site) {
 					continue
 				}
-				if c.of++; !x.Serving || b.held(Target{Gateway: name}) {
+				c.in[name] = true
+				if !x.Serving || b.held(Target{Gateway: name}) {
 					c.out[name] = true
 				}
 			}
@@ -331,27 +431,38 @@
 				if x.Cluster != t.Cluster || s.Zone != "" && x.Zone != s.Zone || s.EachZone && x.Zone != me.Zone {
 					continue
 				}
-				if c.of++; !x.Well || b.held(Target{Cluster: x.Cluster, Endpoint: x.Address}) {
+				c.in[key] = true
+				if !x.Well || b.held(Target{Cluster: x.Cluster, Endpoint: x.Address}) {
 					c.out[key] = true
 				}
 			}
 		}
+		c.of = len(c.in)
 		c.bound = g.bound(c.of)
 		l = append(l, c)
 	}
 	return l
 }
 
-// held tells whether an order has a slot for a target.
+// held tells whether an order has a slot for a gateway or an endpoint. One that is cancelled holds it until it is seen in service.
 func (b *Book) held(t Target) bool {
 	for _, o := range b.Orders {
-		if o.Target == t && o.State.holds() {
+		if o.State.holds() && b.covers(o.Target, t) && (o.State != Cancelled || b.Seen < o.At || !b.well(t)) {
 			return true
 		}
 	}
 	return false
 }
 
+// covers tells whether a target stands for a gateway or an endpoint.
+func (b *Book) covers(t, one Target) bool {
+	if one.Gateway != "" {
+		g := b.Gateways[one.Gateway]
+		return t.HasGateway(one.Gateway, g.Site, g.Zone)
+	}
+	return t.HasEndpoint(one.Cluster, one.Endpoint, b.Endpoints[one.key()].Zone)
+}
+
 func (t Target) key() string {
 	if t.Gateway != "" {
 		return t.Gateway
@@ -361,12 +472,21 @@
 
 // room says why a target may not be taken out now; empty: it may. What is out already takes no more room.
 func (b *Book) room(t Target) string {
-	if !b.known(t) {
+	members := b.members(t)
+	if len(members) == 0 {
 		return "nobody knows of " + t.String()
 	}
-	for _, c := range b.counts(t) {
-		if n := len(c.out); !c.out[t.key()] && n >= c.bound || n > c.bound {
-			return fmt.Sprintf("budget %s: %d of %d are out, %d may be (%s)", c.name, n, c.of, c.bound, some(c.out))
+	for _, m := range members {
+		for _, c := range b.counts(m) {
+			out := maps.Clone(c.out)
+			for _, x := range members {
+				if c.in[x.key()] {
+					out[x.key()] = true
+				}
+			}
+			if n := len(c.out); len(out) > n && len(out) > c.bound || n > c.bound {
+				return fmt.Sprintf("budget %s: %d of %d are out, %d may be (%s)", c.name, n, c.of, c.bound, some(c.out))
+			}
 		}
 	}
 	return ""
@@ -434,14 +554,14 @@
 	}
 }
 
-// well tells whether a target is in service, or is not there any more.
+// well tells whether all of a target is in service, or is not there any more.
 func (b *Book) well(t Target) bool {
-	if t.Gateway != "" {
-		x, ok := b.Gateways[t.Gateway]
-		return !ok || x.Serving
+	for _, m := range b.members(t) {
+		if m.Gateway != "" && !b.Gateways[m.Gateway].Serving || m.Gateway == "" && !b.Endpoints[m.key()].Well {
+			return false
+		}
 	}
-	x, ok := b.Endpoints[t.key()]
-	return !ok || x.Well
+	return true
 }
 
 // other tells whether another order keeps the same target out.
@@ -596,6 +716,15 @@
 	return l
 }
 
+// Last says how a request that is in hand when a gateway's grace is over is answered there: what can have had no effect, or has the
+// same one when it is asked for again, may be asked for again; of all else nobody knows.
+func Last(effect string, sent bool) (status int, again bool) {
+	if !sent || effect == "safe" || effect == "keyed" {
+		return 503, true
+	}
+	return 504, false
+}
+
 // Standing is a budget as it stands.
 type Standing struct {
 	Name  string   `json:"name"`
--- a/internal/quorum/quorum.go
+++ b/internal/quorum/quorum.go
@@ -92,9 +92,10 @@
 	Knows   int     `json:"knows"`            // which entries it knows, see entries
 }
 
-// entries is which entries of the log this program knows: 1 leases, 2 orders and releases as well. Danger: a voter that does not
+// entries is which entries of the log this program knows: 1 leases, 2 orders and releases as well, 3 orders of zones and those that
+// releases of programs ask for. Danger: a voter that does not
 // know one skips it, and would lead without what it says.
-const entries = 2
+const entries = 3
 
 // Open takes a voter's folder and has the node answer for it. An error of the folder (ErrFolder) means that this process
 // cannot vote; it can do all else.
@@ -458,7 +459,7 @@
 		old := ""
 		s.behind.Range(func(name, _ any) bool { old = name.(string); return false })
 		if old != "" {
-			return reply{Done: true, Result: Result{Code: "bad", Text: fmt.Sprintf("voter %s is of an earlier version, which does not know orders and releases: upgrade it first", old)}}, nil
+			return reply{Done: true, Result: Result{Code: "bad", Text: fmt.Sprintf("voter %s is of an earlier version, which does not know all orders and releases: upgrade it first", old)}}, nil
 		}
 	}
 	r, err := s.propose(c)
@@ -498,6 +499,7 @@
 	// Want are the configurations that gateways are to have, by name; those that are to have their own files' are left out.
 	Want        map[string]string `json:"want,omitempty"`
 	WantVersion uint64            `json:"want_version"`
+	Release     string            `json:"release,omitempty"` // the one under way, in a line
 }
 
 func (s *Server) orders(context.Context, []byte) (any, error) {
@@ -511,9 +513,34 @@
 			o.Want[name] = w
 		}
 	}
+	if s.state.rel.Current != nil {
+		o.Release = s.state.rel.Current.String()
+	}
 	return o, nil
 }
 
+// Summary is what a voter has of orders and releases, in numbers.
+type Summary struct {
+	Halted  bool                `json:"halted"`
+	Orders  map[order.State]int `json:"orders"`
+	Budgets []order.Standing    `json:"budgets"`
+	Release release.State       `json:"release,omitempty"` // of the one under way
+}
+
+// Summary gives it.
+func (s *Server) Summary() Summary {
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	u := Summary{Halted: s.state.book.Halted, Orders: map[order.State]int{}, Budgets: s.state.book.Standings()}
+	for _, o := range s.state.book.Orders {
+		u.Orders[o.State]++
+	}
+	if r := s.state.rel.Current; r != nil {
+		u.Release = r.State
+	}
+	return u
+}
+
 // Leading tells whether this voter leads and has counted every lease anew.
 func (s *Server) Leading() bool { return s.leading.Load() }
 
@@ -542,14 +569,17 @@
 	Ended    []release.Release `json:"ended"`
 	Gateways []release.Gateway `json:"gateways"`
 	Want     map[string]string `json:"want"`
+	Program  string            `json:"program,omitempty"`  // the version that every gateway is to run as
+	Programs map[string]string `json:"programs,omitempty"` // by gateway
 	Now      time.Duration     `json:"now"`
 }
 
 func (s *Server) releases(context.Context, []byte) (any, error) {
-	r := Releases{Voter: s.opt.Name, Fresh: s.leading.Load() && s.raft.VerifyLeader().Error() == nil, Want: map[string]string{}}
+	r := Releases{Voter: s.opt.Name, Fresh: s.leading.Load() && s.raft.VerifyLeader().Error() == nil, Want: map[string]string{}, Programs: map[string]string{}}
 	s.state.mu.Lock()
 	defer s.state.mu.Unlock()
 	b := s.state.rel
+	r.Program = b.Program
 	r.Term, r.Version, r.Base, r.Now, r.Ended = s.state.table.Term, b.Version, b.Base, b.Now, slices.Clone(b.Ended)
 	if b.Current != nil {
 		c := *b.Current
@@ -557,7 +587,7 @@
 	}
 	for name, g := range b.Gateways {
 		r.Gateways = append(r.Gateways, g)
-		r.Want[name] = b.Want(name)
+		r.Want[name], r.Programs[name] = b.Want(name), b.WantProgram(name)
 	}
 	slices.SortFunc(r.Gateways, func(x, y release.Gateway) int { return strings.Compare(x.Name, y.Name) })
 	// What is under way is changed in place: hand out a copy.
@@ -580,15 +610,27 @@
 	return t, nil
 }
 
-// Want is what gateways are to have, by name, with a number that rises; under: a release is under way.
-func (s *Server) Want(names []string) (want map[string]string, version uint64, under bool) {
+// Wants are what gateways are to have, by name.
+type Wants struct {
+	Config, Program map[string]string
+	Version         uint64        // rises
+	Under           bool          // a release is under way
+	Soak            time.Duration // of it
+}
+
+// Want gives them.
+func (s *Server) Want(names []string) Wants {
 	s.state.mu.Lock()
 	defer s.state.mu.Unlock()
-	want = map[string]string{}
+	b := s.state.rel
+	w := Wants{Config: map[string]string{}, Program: map[string]string{}, Version: b.Version, Under: b.Current != nil}
 	for _, n := range names {
-		want[n] = s.state.rel.Want(n)
+		w.Config[n], w.Program[n] = b.Want(n), b.WantProgram(n)
+	}
+	if w.Under {
+		w.Soak = b.Current.Soak
 	}
-	return want, s.state.rel.Version, s.state.rel.Current != nil
+	return w
 }
 
 // Shown tells whether the quorum has it that the gateways stand so; their figures aside.
@@ -597,8 +639,7 @@
 	defer s.state.mu.Unlock()
 	known := s.state.rel.Gateways
 	for _, g := range l {
-		k, ok := known[g.Name]
-		if k.Figures = g.Figures; !ok || k != g {
+		if k, ok := known[g.Name]; !ok || !k.Stands(g) {
 			return false
 		}
 	}
--- a/internal/quorum/state.go
+++ b/internal/quorum/state.go
@@ -6,11 +6,15 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/hashicorp/raft"
 
+	"arrowhitch/internal/keep"
 	"arrowhitch/internal/lease"
 	"arrowhitch/internal/order"
 	"arrowhitch/internal/release"
@@ -65,6 +69,19 @@
 	Now   time.Duration `json:"now,omitempty"`
 	Fleet string        `json:"fleet,omitempty"` // lead: the identity that the fleet was founded with
 	Base  uint64        `json:"base,omitempty"`  // lead: tokens are higher than this
+	More  keep.Fields   `json:"-"`               // handed on: a leader writes what a newer client asked
+}
+
+// MarshalJSON and UnmarshalJSON keep the fields that this program does not know.
+func (c Command) MarshalJSON() ([]byte, error) {
+	type plain Command
+	return keep.Marshal(plain(c), c.More)
+}
+
+// UnmarshalJSON is the other way of MarshalJSON.
+func (c *Command) UnmarshalJSON(text []byte) error {
+	type plain Command
+	return keep.Unmarshal(text, (*plain)(c), &c.More)
 }
 
 // Seen is what the leader has heard of the fleet in one round.
@@ -120,6 +137,7 @@
 	book  *order.Book
 	rel   *release.Book
 	fleet string
+	more  keep.Fields // of its stored form, by a newer program
 }
 
 func newState() *state {
@@ -185,7 +203,9 @@
 		if c.Seen.Release != nil {
 			s.rel.See(c.Now, c.Seen.Release)
 		}
-		return result(lease.Grant{}, b.See(c.Now, c.Seen.Version, c.Seen.Gateways, c.Seen.Endpoints))
+		err := b.See(c.Now, c.Seen.Version, c.Seen.Gateways, c.Seen.Endpoints)
+		s.rel.Pace(c.Now, b)
+		return result(lease.Grant{}, err)
 	case c.Op == Ask && c.Order != nil:
 		o, err = b.Ask(c.Now, *c.Order)
 	case c.Op == Cancel && c.Order != nil:
@@ -195,7 +215,9 @@
 	case c.Op == progress && c.Order != nil:
 		o, err = b.Progress(c.Now, c.Order.ID, c.Order.Token, c.Order.InHand)
 	default:
-		return result(lease.Grant{}, s.applyRelease(c))
+		err := s.applyRelease(c)
+		s.rel.Pace(c.Now, b)
+		return result(lease.Grant{}, err)
 	}
 	r := result(lease.Grant{}, err)
 	r.Order = &o
@@ -207,6 +229,9 @@
 	switch {
 	case c.Op == Put:
 		return b.Put(c.Digest, c.Text)
+	case c.Op == ReleaseBegin && c.Plan != nil && len(c.More) > 0:
+		// A gate that nobody here knows must not be left out.
+		return fmt.Errorf("the release says what this voter's version does not know (%s): upgrade the voters first", strings.Join(slices.Sorted(maps.Keys(c.More)), ", "))
 	case c.Op == ReleaseBegin && c.Plan != nil:
 		return b.Begin(c.Now, *c.Plan)
 	case c.Op == ReleaseHalt:
@@ -228,6 +253,19 @@
 	Table  json.RawMessage `json:"table"`
 	Book   json.RawMessage `json:"book,omitempty"` // earlier snapshots have none
 	Rel    json.RawMessage `json:"releases,omitempty"`
+	More   keep.Fields     `json:"-"`
+}
+
+// MarshalJSON and UnmarshalJSON keep the fields that this program does not know.
+func (v saved) MarshalJSON() ([]byte, error) {
+	type plain saved
+	return keep.Marshal(plain(v), v.More)
+}
+
+// UnmarshalJSON is the other way of MarshalJSON.
+func (v *saved) UnmarshalJSON(text []byte) error {
+	type plain saved
+	return keep.Unmarshal(text, (*plain)(v), &v.More)
 }
 
 const format = 1
@@ -247,7 +285,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return json.Marshal(saved{format, s.fleet, table, book, rel})
+	return json.Marshal(saved{format, s.fleet, table, book, rel, s.more})
 }
 
 func (s *state) load(text []byte) error {
@@ -276,7 +314,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.table, s.book, s.rel, s.fleet = t, book, rel, v.Fleet
+	s.table, s.book, s.rel, s.fleet, s.more = t, book, rel, v.Fleet, v.More
 	return nil
 }
 
--- /dev/null
+++ b/internal/release/pace.go
@@ -0,0 +1,53 @@
+package release
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"arrowhitch/internal/order"
+)
+
+// restarts begins the ids of the orders that Pace asks for.
+const restarts = "program/"
+
+// Pace has orders follow what versions gateways are to run as: each that is to start anew is drained for it, within the budgets that
+// all drains keep, on the way forward and on the way back, and its slot is held until it has been seen in service again. Halted, what
+// has not left yet stays: it comes back first.
+func (b *Book) Pace(now time.Duration, orders *order.Book) {
+	open := map[string]*order.Order{}
+	for id, o := range orders.Orders {
+		if name, ok := strings.CutPrefix(id, restarts); ok && o.State != order.Ended && o.State != order.Refused && o.State != order.Cancelled {
+			open[name[strings.IndexByte(name, '/')+1:]] = o
+		}
+	}
+	r := b.Current
+	halted := r != nil && r.Plan.Program && r.State == Halted
+	var plan Plan
+	for i := range b.Ended {
+		if b.Ended[i].Plan.Program {
+			plan = b.Ended[i].Plan
+		}
+	}
+	if r != nil && r.Plan.Program {
+		plan = r.Plan
+	}
+	plan.fill()
+	for _, name := range slices.Sorted(maps.Keys(b.Gateways)) {
+		g := b.Gateways[name]
+		want := b.WantProgram(name)
+		moves := want != "" && want != g.Program && g.Program != "" && g.NotThis == "" && !halted
+		o := open[name]
+		switch {
+		case o != nil && (halted || g.Here && (!moves || o.Restart != want)):
+			_, _ = orders.Cancel(now, o.ID) // it is there: it was found there
+		case o == nil && moves && g.Here:
+			b.Restarts++
+			// Not granted, it is asked for again with the next round.
+			_, _ = orders.Ask(now, order.Order{ID: fmt.Sprintf("%s%d/%s", restarts, b.Restarts, name), Target: order.Target{Gateway: name}, Owner: "release " + plan.ID,
+				Reason: "to start as " + want, Grace: plan.Grace, Notice: plan.Notice, Restart: want})
+		}
+	}
+}
--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -46,6 +46,9 @@
 	Fleet, File func(i int) string
 	// Binaries are other programs than Binary, by node: an earlier version.
 	Binaries map[int]string
+	// Versions has the nodes supervised: programs by label, of which they run Version at first.
+	Versions map[string]string
+	Version  string
 	// NoFleet leaves the block out.
 	NoFleet bool
 	MostLog string // most_bytes of the voters' logs
@@ -272,6 +275,13 @@
 	up := make(chan struct{})
 	var once sync.Once
 	binary := cmp.Or(n.c.opt.Binaries[n.Number], n.c.opt.Binary)
+	args := []string{verb, "--with-parent", "-c", path}
+	if len(n.c.opt.Versions) > 0 && !n.Witness {
+		if err := n.supervised(); err != nil {
+			return err
+		}
+		args = append([]string{"supervise", "--with-parent", "--folder", n.Dir, "--pause", "100ms", "--longest-pause", "1s", "--"}, args...)
+	}
 	p, err := proc.Start(n.Name, binary, func(line string) {
 		if strings.Contains(line, `"listening for operators"`) {
 			once.Do(func() { close(up) })
@@ -279,7 +289,7 @@
 		if n.c.opt.Lines != nil {
 			n.c.opt.Lines(n.Number, line)
 		}
-	}, verb, "--with-parent", "-c", path)
+	}, args...)
 	if err != nil {
 		return err
 	}
@@ -298,6 +308,22 @@
 	}
 }
 
+// supervised lays out the folder of a node's supervisor where there is none.
+func (n *Node) supervised() error {
+	if err := os.Mkdir(filepath.Join(n.Dir, "versions"), 0o700); err != nil {
+		if os.IsExist(err) {
+			return nil
+		}
+		return err
+	}
+	for label, program := range n.c.opt.Versions {
+		if err := os.Link(program, filepath.Join(n.Dir, "versions", label)); err != nil {
+			return err
+		}
+	}
+	return os.Symlink(filepath.Join("versions", n.c.opt.Version), filepath.Join(n.Dir, "current"))
+}
+
 // Process is its process; nil: it was never started.
 func (n *Node) Process() *proc.Process {
 	n.mu.Lock()
--- a/internal/standin/cluster/site.go
+++ b/internal/standin/cluster/site.go
@@ -37,6 +37,10 @@
 	Posts       map[string]*End
 	Sites       []string // of the gateways in turn; nil: one
 	Budgets     string   // of the file; empty: what is taken without
+	Zones       []string // of the gateways in turn; nil: none
+	File        string   // more sections of every gateway's file
+	Versions    map[string]string
+	Version     string
 }
 
 // NewSite starts one, and waits until every gateway is ready.
@@ -76,8 +80,15 @@
 	}
 	plane := &End{Name: "plane", Addr: s.Plane.Addr}
 	if s.Cluster, err = New(Options{Binary: o.Binary, Dir: s.dir, Nodes: o.Gateways, Sites: sites, Lease: o.Lease, Beat: o.Lease / 6, XDS: plane, Seed: o.Seed, Posts: o.Posts,
+		Versions: o.Versions, Version: o.Version,
 		Fleet: func(int) string { return fleet },
-		File:  func(int) string { return "clusters: []\nroutes: [{match: {prefix: /}, cluster: c}]\n" }}); err != nil {
+		File: func(i int) string {
+			text := "clusters: []\nroutes: [{match: {prefix: /}, cluster: c}]\n" + o.File
+			if len(o.Zones) > 0 {
+				text += "zone: " + o.Zones[i%len(o.Zones)] + "\n"
+			}
+			return text
+		}}); err != nil {
 		return fail(err)
 	}
 	if err := s.Start(); err != nil {
--- a/internal/standin/proc/proc.go
+++ b/internal/standin/proc/proc.go
@@ -99,8 +99,12 @@
 	return p.killed
 }
 
-// Signal sends one; to a process that has ended it does nothing.
-func (p *Process) Signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+// Signal sends one to the process and to those that it has started, which are of its group; where it has ended it does nothing.
+func (p *Process) Signal(s syscall.Signal) {
+	if p.Running() {
+		_ = syscall.Kill(-p.PID(), s) // it may have ended
+	}
+}
 
 // Freeze stops it in the middle of whatever it does, Thaw has it go on.
 func (p *Process) Freeze() { p.Signal(syscall.SIGSTOP) }
@@ -113,7 +117,7 @@
 	p.mu.Lock()
 	p.killed = true
 	p.mu.Unlock()
-	_ = p.cmd.Process.Kill() // it may have ended
+	p.Signal(syscall.SIGKILL)
 	<-p.Exited
 	_ = p.stdin.Close()
 }
@@ -127,7 +131,7 @@
 	select {
 	case <-p.Exited:
 	case <-t.C:
-		_ = p.cmd.Process.Kill()
+		p.Signal(syscall.SIGKILL)
 		<-p.Exited
 	}
 	_ = p.stdin.Close()
