cluster: a test of releases of programs over supervised gateways; who left is missing

Found by it and mended: a gateway that says it leaves was not waited for by its wave (it was no longer in the round's list), one back from a version that crashed was told to start as it again by the order that had it out, and a question at the start forgave a version that was given up.

--- a/internal/fleet/orders.go
+++ b/internal/fleet/orders.go
@@ -94,7 +94,7 @@
 	Full    bool       `json:"full"`
 	Want    string     `json:"want"` // the configuration that this gateway is to have
 	Version uint64     `json:"version"`
-	Program string     `json:"program,omitempty"` // the version that it is to run as; empty: the one that it does
+	Program *string    `json:"program,omitempty"` // the version that it is to run as; empty: the one that it does; nil: it is not said
 }
 
 // Supervised has this process started as other versions by releases. It is called before Start.
@@ -130,7 +130,9 @@
 		default:
 		}
 	}
-	o.follow(t.Program)
+	if t.Program != nil {
+		o.follow(*t.Program)
+	}
 	r := o.agent.Ordered(t.View, t.Full)
 	r.Program, r.NotThis = o.runs, o.notThis
 	r.Birth, r.Has, r.Refused = o.f.list.Self().Birth, o.has, o.refused
@@ -166,6 +168,10 @@
 	if o.program == nil || version == o.runs {
 		return
 	}
+	// Danger: one that has just come back from that version is still out by the same order.
+	if o.notThis = o.program.Refuses(version); o.notThis != "" {
+		return
+	}
 	if err := o.program.Ask(version); err != nil {
 		o.notThis = err.Error()
 		f.log.Error("cannot start as another version", "version", version, "err", err)
@@ -347,7 +353,7 @@
 			one, cancel := context.WithTimeout(ctx, 2*f.conf.Quorum.Heartbeat.D())
 			defer cancel()
 			var r Report
-			if f.node.Call(one, m.Address, ordersPath, told{view, full, want.Config[m.Name], want.Version, want.Program[m.Name]}, &r) == nil && r.Version >= view.Version {
+			if f.node.Call(one, m.Address, ordersPath, told{view, full, want.Config[m.Name], want.Version, new(want.Program[m.Name])}, &r) == nil && r.Version >= view.Version {
 				reports[i] = &r
 			}
 		})
@@ -385,13 +391,6 @@
 			seen.Release = append(seen.Release, release.Gateway{Name: g.Name, Site: g.Site, Zone: g.Zone, Birth: g.Birth})
 		}
 	}
-	// A release begins with what is known then. While it is under way figures are agreed often enough for its soak, and no more: they
-	// go into the log.
-	if every := min(want.Soak/20, time.Second); (!want.Under || f.now()-o.shown < every) && s.Shown(seen.Release) {
-		seen.Release = nil
-	} else {
-		o.shown = f.now()
-	}
 	// One that has left is missing all the same, until it is back or forgotten.
 	there := map[string]bool{}
 	for _, g := range seen.Gateways {
@@ -409,8 +408,16 @@
 		o.absent[g.Name] = since
 		g.Serving = false
 		seen.Gateways = append(seen.Gateways, g)
+		seen.Release = append(seen.Release, release.Gateway{Name: g.Name, Site: g.Site, Zone: g.Zone, Birth: g.Birth})
 	}
 	maps.DeleteFunc(o.absent, func(_ string, since time.Duration) bool { return f.now()-since >= 2*f.conf.Forget.D() })
+	// A release begins with what is known then. While it is under way figures are agreed often enough for its soak, and no more: they
+	// go into the log.
+	if every := min(want.Soak/20, time.Second); (!want.Under || f.now()-o.shown < every) && s.Shown(seen.Release) {
+		seen.Release = nil
+	} else {
+		o.shown = f.now()
+	}
 	for k, e := range ends {
 		e.Well = float64(bad[k]) < max(doubt*float64(answered), 1)
 		seen.Endpoints = append(seen.Endpoints, e)
--- a/internal/release/release.go
+++ b/internal/release/release.go
@@ -669,13 +669,20 @@
 	if r.Began == 0 {
 		r.Began, r.Why = max(b.Now, 1), ""
 		for name, g := range b.Gateways {
-			r.Start[name] = g.Figures
-			if slices.Contains(wave, name) && g.Here {
+			if r.Start[name] = g.Figures; !slices.Contains(wave, name) {
+				continue
+			}
+			if delete(r.Births, name); g.Here {
 				r.Births[name] = g.Birth
 			}
 		}
 		return
 	}
+	for _, name := range wave { // one that was tolerated to be missing, and is there now
+		if g := b.Gateways[name]; g.Here && r.Births[name] == 0 {
+			r.Start[name], r.Births[name] = g.Figures, g.Birth
+		}
+	}
 	verdict, why := b.judge(r)
 	switch {
 	case verdict == bad:
--- a/internal/standin/cluster/drains.go
+++ b/internal/standin/cluster/drains.go
@@ -71,10 +71,8 @@
 	rng := rand.New(rand.NewPCG(seed, 0xd4a1))
 	load := s.Load(20)
 	defer load.Stop()
-	watch, stop := context.WithCancel(ctx)
-	var watching sync.WaitGroup
-	watching.Go(func() { s.observe(watch, &v) })
-	defer func() { stop(); watching.Wait() }()
+	stop := s.watch(&v, drainBudget)
+	defer func() { stop() }()
 
 	type asked struct {
 		id    string
@@ -170,7 +168,6 @@
 		}
 	}
 	stop()
-	watching.Wait()
 	if why := load.Stop(); why != "" && v.First == "" {
 		v.First = why
 	}
@@ -178,8 +175,17 @@
 	return v
 }
 
-// observe counts, from outside, how many gateways say that an order keeps them out.
-func (s *Site) observe(ctx context.Context, v *DrainVerdict) {
+// watch observes until what it gives is called.
+func (s *Site) watch(v *DrainVerdict, most int) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var work sync.WaitGroup
+	work.Go(func() { s.observe(ctx, v, most) })
+	return func() { cancel(); work.Wait() }
+}
+
+// observe counts, from outside, how many gateways are out by planned means: those that say that an order keeps them out, and under
+// supervisors those that do not answer though nobody has killed or frozen them, as they start anew.
+func (s *Site) observe(ctx context.Context, v *DrainVerdict, most int) {
 	tick := time.NewTicker(100 * time.Millisecond)
 	defer tick.Stop()
 	for {
@@ -196,7 +202,14 @@
 				continue
 			}
 			all.Go(func() {
-				if st, err := n.Status(); err == nil && st.Drained != "" {
+				start := n.Starts()
+				st, err := n.Status()
+				if err != nil && len(s.opt.Versions) > 0 && n.Up() && n.Starts() == start {
+					st.Drained = err.Error()
+				} else if err != nil {
+					return
+				}
+				if st.Drained != "" {
 					mu.Lock()
 					out[n.Name] = st.Drained
 					mu.Unlock()
@@ -206,7 +219,7 @@
 		all.Wait()
 		v.Looks++
 		v.Most = max(v.Most, len(out))
-		if len(out) > drainBudget {
+		if len(out) > most {
 			if v.Over++; v.First == "" {
 				v.First = fmt.Sprintf("%d gateways are out by order: %v", len(out), out)
 			}
--- a/internal/standin/proc/proc.go
+++ b/internal/standin/proc/proc.go
@@ -14,7 +14,7 @@
 )
 
 // lastLines of a log are kept for the error of a process that ended by itself.
-const lastLines = 8
+const lastLines = 16
 
 // Process is one child. Its methods may be called by several goroutines at once.
 type Process struct {
@@ -85,6 +85,13 @@
 	}
 }
 
+// Last are its last lines.
+func (p *Process) Last() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]string(nil), p.last...)
+}
+
 // Died says how it ended by itself.
 func (p *Process) Died() error {
 	p.mu.Lock()
