cluster, lab: zones as targets, the end of a grace, the previous build; lab release

robindrum lab release simulates a release over a fleet with the quorum's own books: 200 gateways, deaths, bad versions, a loop or all at once beside it. Found by the property of Pace: a gateway that was away while a release went back came back as the new version and stayed it.

--- a/cmd/robindrum/lab.go
+++ b/cmd/robindrum/lab.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"os"
@@ -18,7 +19,68 @@
 		Long: "Run experiments: a fleet, gateways, a load and what happens, from a file, with checks that decide the exit code.\n" +
 			"--engine sim runs them on simulated time, with the same figures on every machine by seed; --engine loopback runs this\n" +
 			"program as child processes before stand-in servers, in real time."}
-	c.AddCommand(labRun(), labCompare(), labCalibrate(), labList())
+	c.AddCommand(labRun(), labCompare(), labCalibrate(), labRelease(), labList())
+	return c
+}
+
+func labRelease() *cobra.Command {
+	var r lab.Rollout
+	var seeds int
+	var plain bool
+	c := &cobra.Command{Use: "release", Short: "Simulate a release of a version over a fleet, good or bad", Args: noArgs,
+		Long: "Simulate a release of a version of the program: the quorum's own books decide, gateways drain and start anew, some die by themselves.\n" +
+			"--mode loop restarts one after the other until somebody sees the share of failures, --mode at-once all together.",
+		RunE: func(c *cobra.Command, _ []string) error {
+			if seeds < 1 || seeds > 1000 {
+				return fmt.Errorf("--seeds wants 1 to 1000, not %d: %w", seeds, errUsage)
+			}
+			t := tabwriter.NewWriter(c.OutOrStdout(), 0, 0, 2, ' ', 0)
+			if !plain {
+				fmt.Fprintln(t, "SEED\tEND\tTOOK\tSTOPPED AFTER\tREQUESTS\tHARMED\tHAD IT\tOUT BY PLAN\tMAY BE\tMISSING\tOVER\tDIED\tWHY")
+			}
+			over := 0
+			for i := range seeds {
+				r.Seed = uint64(i + 1)
+				x, err := r.Run()
+				if err != nil {
+					return err
+				}
+				if over += x.Over; plain {
+					if err := json.NewEncoder(c.OutOrStdout()).Encode(x); err != nil {
+						return err
+					}
+					continue
+				}
+				fmt.Fprintf(t, "%d\t%s\t%v\t%v\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%s\n", x.Seed, x.State, x.Took, x.Halt, x.Requests, x.Harmed, x.Had, x.Planned, x.Bound, x.Missing, x.Over,
+					x.Deaths, x.Why)
+			}
+			if err := t.Flush(); err != nil {
+				return err
+			}
+			if over > 0 && r.Mode == "release" {
+				return fmt.Errorf("more were out than may be")
+			}
+			return nil
+		}}
+	r.Fill()
+	f := c.Flags()
+	f.IntVar(&r.Gateways, "gateways", r.Gateways, "how many")
+	f.IntVar(&r.Sites, "sites", r.Sites, "how many")
+	f.IntVar(&r.Zones, "zones", r.Zones, "of each site")
+	f.Float64Var(&r.Rate, "rate", r.Rate, "requests a second, over all")
+	f.Float64Var(&r.Fails, "fails", 0, "part of the requests that the new version fails")
+	f.Float64Var(&r.Slow, "slow", 0, "what the new version takes longer, as a part")
+	f.DurationVar(&r.Crash, "crash", 0, "the new version ends by itself after so long; 0: it does not")
+	f.Float64Var(&r.Deaths, "deaths", 0, "part of the gateways that die by themselves in an hour")
+	f.DurationVar(&r.Down, "down", r.Down, "how long such a one is away")
+	f.DurationVar(&r.Restart, "restart", r.Restart, "from a gateway's end to its being in service")
+	f.DurationVar(&r.Drain, "drain", r.Drain, "until a gateway has nothing in hand")
+	f.Float64Var(&r.Part, "part", r.Part, "of each site's gateways that may be out")
+	f.DurationVar(&r.Soak, "soak", r.Soak, "of each wave")
+	f.StringVar(&r.Mode, "mode", r.Mode, "release, loop or at-once")
+	f.Float64Var(&r.Alarm, "alarm", r.Alarm, "share of failures in a minute that stops a loop")
+	f.IntVar(&seeds, "seeds", 1, "how many")
+	f.BoolVar(&plain, "json", false, "print JSON, a line each")
 	return c
 }
 
--- a/internal/order/order.go
+++ b/internal/order/order.go
@@ -347,8 +347,9 @@
 		}
 		return "nobody knows of " + o.Target.String()
 	}
+	held := b.tally()
 	for _, m := range members {
-		for _, c := range b.counts(m) {
+		for _, c := range held.counts(m) {
 			switch n := c.among(members); {
 			case c.bound == 0:
 				return fmt.Sprintf("budget %s allows none of %d to be out", c.name, c.of)
@@ -362,6 +363,12 @@
 
 // members are the gateways or endpoints that a target stands for, as far as they are known.
 func (b *Book) members(t Target) (l []Target) {
+	if t.Gateway != "" {
+		if _, ok := b.Gateways[t.Gateway]; ok {
+			l = append(l, t)
+		}
+		return l
+	}
 	if t.OfGateways() {
 		for _, name := range slices.Sorted(maps.Keys(b.Gateways)) {
 			if g := b.Gateways[name]; t.HasGateway(name, g.Site, g.Zone) {
@@ -402,8 +409,38 @@
 	return n
 }
 
+// tally is how the budgets stand while nothing changes.
+type tally struct {
+	b    *Book
+	held map[Target]bool
+	by   map[Target][]count // by place: all of one fall under the same budgets
+}
+
+func (b *Book) tally() *tally { return &tally{b: b, held: b.held(), by: map[Target][]count{}} }
+
 // counts gives the budgets that a gateway or an endpoint falls under.
-func (b *Book) counts(t Target) (l []count) {
+func (y *tally) counts(t Target) []count {
+	place := Target{Cluster: t.Cluster}
+	known := false
+	if t.Gateway != "" {
+		g, ok := y.b.Gateways[t.Gateway]
+		place.Site, place.Zone, known = g.Site, g.Zone, ok
+	} else {
+		e, ok := y.b.Endpoints[t.key()]
+		place.Zone, known = e.Zone, ok
+	}
+	if !known {
+		return nil
+	}
+	l, ok := y.by[place]
+	if !ok {
+		l = y.b.counts(t, y.held)
+		y.by[place] = l
+	}
+	return l
+}
+
+func (b *Book) counts(t Target, held map[Target]bool) (l []count) {
 	for i := range b.Budgets {
 		g := &b.Budgets[i]
 		s := &g.Scope
@@ -418,7 +455,7 @@
 					continue
 				}
 				c.in[name] = true
-				if !x.Serving || b.held(Target{Gateway: name}) {
+				if !x.Serving || held[Target{Gateway: name}] {
 					c.out[name] = true
 				}
 			}
@@ -432,7 +469,7 @@
 					continue
 				}
 				c.in[key] = true
-				if !x.Well || b.held(Target{Cluster: x.Cluster, Endpoint: x.Address}) {
+				if !x.Well || held[Target{Cluster: x.Cluster, Endpoint: x.Address}] {
 					c.out[key] = true
 				}
 			}
@@ -444,23 +481,24 @@
 	return l
 }
 
-// held tells whether an order has a slot for a gateway or an endpoint. One that is cancelled holds it until it is seen in service.
-func (b *Book) held(t Target) bool {
+// held are the gateways and endpoints for which an order has a slot. One that is cancelled holds it until it is seen in service.
+func (b *Book) held() map[Target]bool {
+	m := map[Target]bool{}
 	for _, o := range b.Orders {
-		if o.State.holds() && b.covers(o.Target, t) && (o.State != Cancelled || b.Seen < o.At || !b.well(t)) {
-			return true
+		if !o.State.holds() {
+			continue
+		}
+		l := b.members(o.Target)
+		if len(l) == 0 && (o.Target.Gateway != "" || o.Target.Endpoint != "") {
+			l = []Target{o.Target}
+		}
+		for _, t := range l {
+			if o.State != Cancelled || b.Seen < o.At || !b.well(t) {
+				m[t] = true
+			}
 		}
 	}
-	return false
-}
-
-// covers tells whether a target stands for a gateway or an endpoint.
-func (b *Book) covers(t, one Target) bool {
-	if one.Gateway != "" {
-		g := b.Gateways[one.Gateway]
-		return t.HasGateway(one.Gateway, g.Site, g.Zone)
-	}
-	return t.HasEndpoint(one.Cluster, one.Endpoint, b.Endpoints[one.key()].Zone)
+	return m
 }
 
 func (t Target) key() string {
@@ -471,20 +509,20 @@
 }
 
 // room says why a target may not be taken out now; empty: it may. What is out already takes no more room.
-func (b *Book) room(t Target) string {
+func (b *Book) room(t Target, held *tally) string {
 	members := b.members(t)
 	if len(members) == 0 {
 		return "nobody knows of " + t.String()
 	}
 	for _, m := range members {
-		for _, c := range b.counts(m) {
-			out := maps.Clone(c.out)
+		for _, c := range held.counts(m) {
+			more := 0
 			for _, x := range members {
-				if c.in[x.key()] {
-					out[x.key()] = true
+				if k := x.key(); c.in[k] && !c.out[k] {
+					more++
 				}
 			}
-			if n := len(c.out); len(out) > n && len(out) > c.bound || n > c.bound {
+			if n := len(c.out); more > 0 && n+more > c.bound || n > c.bound {
 				return fmt.Sprintf("budget %s: %d of %d are out, %d may be (%s)", c.name, n, c.of, c.bound, some(c.out))
 			}
 		}
@@ -516,10 +554,12 @@
 		}
 	}
 	// The latest granted goes first. Danger: taken back one by one, as each may be enough.
+	held := b.tally()
 	for i := len(all) - 1; i >= 0; i-- {
 		if o := all[i]; o.State == Granted {
-			if why := b.room(o.Target); why != "" {
+			if why := b.room(o.Target, held); why != "" {
 				b.set(o, Asked, "taken back: "+why)
+				held = b.tally()
 			}
 		}
 	}
@@ -527,7 +567,7 @@
 		if o.State != Asked {
 			continue
 		}
-		why := b.room(o.Target)
+		why := b.room(o.Target, held)
 		if b.Halted {
 			why = "halted: nothing new is taken out"
 		}
@@ -538,6 +578,7 @@
 		b.Last++
 		o.Token = b.Last
 		b.set(o, Granted, "")
+		held = b.tally()
 	}
 	b.trim(all)
 }
@@ -736,9 +777,9 @@
 
 // Standings gives each budget as it stands, for each zone, site or cluster that it counts by itself.
 func (b *Book) Standings() (l []Standing) {
-	seen := map[string]bool{}
+	seen, held := map[string]bool{}, b.tally()
 	note := func(t Target, site, zone string) {
-		for _, c := range b.counts(t) {
+		for _, c := range held.counts(t) {
 			g := b.Budgets[slices.IndexFunc(b.Budgets, func(g Budget) bool { return g.Name == c.name })]
 			scope := ""
 			if g.Scope.Cluster != "" {
--- a/internal/order/order_test.go
+++ b/internal/order/order_test.go
@@ -154,7 +154,7 @@
 		if before[key] {
 			continue
 		}
-		for _, c := range b.counts(Target{Gateway: key}) {
+		for _, c := range b.counts(Target{Gateway: key}, b.held()) {
 			if len(c.out) > c.bound {
 				return fmt.Errorf("%s was granted: budget %s has %v out of %d, %d may be", key, c.name, slices.Sorted(maps.Keys(c.out)), c.of, c.bound)
 			}
--- /dev/null
+++ b/internal/release/pace_test.go
@@ -0,0 +1,252 @@
+package release
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"arrowhitch/internal/order"
+)
+
+// programs is a fleet of supervised gateways with both books.
+type programs struct {
+	*fleet
+	orders *order.Book
+	most   int
+	away   map[string]int // rounds until a gateway that starts anew is there
+	next   map[string]string
+}
+
+func newPrograms(n, most int) *programs {
+	p := &programs{fleet: newFleet(n), orders: order.NewBook(), most: most, away: map[string]int{}, next: map[string]string{}}
+	for _, g := range p.all {
+		g.Program, g.Serving = "v1", true
+	}
+	_ = p.orders.Limit(0, []order.Budget{{Name: "g", Scope: order.Scope{Gateways: true}, Most: most}})
+	p.step()
+	return p
+}
+
+// out are the gateways that orders keep out, or that start anew by one.
+func (p *programs) out() map[string]bool {
+	m := map[string]bool{}
+	for _, o := range p.orders.Orders {
+		if o.State.Out() {
+			m[o.Target.Gateway] = true
+		}
+	}
+	return m
+}
+
+// step is a round in which every gateway does as it is told, and says so. It gives how many were out by plan before it was seen who
+// else is missing.
+func (p *programs) step() {
+	out := p.out()
+	for _, name := range slices.Sorted(maps.Keys(p.all)) {
+		g := p.all[name]
+		if n, ok := p.away[name]; ok {
+			if p.away[name] = n - 1; n > 1 {
+				continue
+			}
+			delete(p.away, name)
+			g.Here, g.Program, g.Figures = true, p.next[name], Figures{}
+			g.Birth++
+		}
+		if g.Serving = g.Here && !out[name]; g.Program == "bad" && g.Here {
+			g.NotThis = ""
+		}
+	}
+	for _, o := range p.orders.List() {
+		g := p.all[o.Target.Gateway]
+		switch {
+		case o.State == order.Granted:
+			if x, err := p.orders.Begin(p.now, o.ID, o.Token); err == nil && x.State == order.UnderWay && g.Here {
+				g.Serving = false
+			}
+		case o.State.Out() && g.Here && o.Restart != "" && g.Program != o.Restart:
+			_, _ = p.orders.Progress(p.now, o.ID, o.Token, 0)
+			g.Here, g.Serving = false, false
+			p.away[g.Name], p.next[g.Name] = 2, o.Restart
+		}
+	}
+	p.now += time.Second
+	var l []Gateway
+	var seen []order.Gateway
+	for _, name := range slices.Sorted(maps.Keys(p.all)) {
+		g := p.all[name]
+		x := *g
+		if g.Serving {
+			n := uint64(p.errors * float64(p.load))
+			if g.Program != "v2" {
+				n = 0
+			}
+			g.Taken, g.Bad, g.Served, g.Seconds = g.Taken+p.load, g.Bad+n, g.Served+p.load-n, g.Seconds+float64(p.load-n)/100
+			x = *g
+		}
+		if !g.Here {
+			x.Program, x.Figures = "", Figures{}
+		}
+		l = append(l, x)
+		seen = append(seen, order.Gateway{Name: name, Site: g.Site, Zone: g.Zone, Birth: g.Birth, Serving: g.Serving})
+	}
+	p.b.See(p.now, l)
+	_ = p.orders.See(p.now, p.orders.Version, seen, nil)
+	p.b.Pace(p.now, p.orders)
+}
+
+// Whatever is done by hand and whatever dies, with other leaders and through their stored forms: no more gateways are out by plan than
+// may be, each runs as the version before or the new one, and when all is well again and it goes back, every one runs as it did before
+// and no order is left.
+func TestPaceKeepsTheBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := newPrograms(rapid.IntRange(2, 9).Draw(t, "gateways"), rapid.IntRange(1, 3).Draw(t, "most"))
+		names := slices.Sorted(maps.Keys(p.all))
+		check := func(what any) {
+			if n := len(p.out()); n > p.most {
+				t.Fatalf("%d are out by plan, %d may be (%v)", n, p.most, what)
+			}
+			for _, g := range p.all {
+				if g.Program != "v1" && g.Program != "v2" {
+					t.Fatalf("%s runs as %q", g.Name, g.Program)
+				}
+			}
+		}
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			g := p.all[rapid.SampledFrom(names).Draw(t, "gateway")]
+			event := rapid.IntRange(0, 13).Draw(t, "event")
+			switch event {
+			case 0, 1:
+				_ = p.b.Begin(p.now, Plan{ID: "r", To: "v2", Program: true, Soak: 2 * time.Second, Back: rapid.Bool().Draw(t, "back"), Gate: Gate{Requests: 50}})
+			case 2:
+				_ = p.b.Halt(p.now, "")
+			case 3:
+				_ = p.b.Resume(p.now)
+			case 4:
+				_ = p.b.Back(p.now, "")
+			case 5:
+				if g.Here { // dies, and comes back as what it was
+					g.Here, g.Serving = false, false
+					p.away[g.Name], p.next[g.Name] = rapid.IntRange(1, 9).Draw(t, "for"), g.Program
+				}
+			case 6:
+				p.errors = 0.2 - p.errors
+			case 7:
+				p.now = 0
+				p.b.Lead(0)
+				p.orders.Lead(0)
+			case 8:
+				_, _ = p.orders.Ask(p.now, order.Order{ID: fmt.Sprint("hand", g.Name), Target: order.Target{Gateway: g.Name}, Grace: time.Minute})
+				p.b.Pace(p.now, p.orders)
+			case 9:
+				for _, name := range names {
+					_, _ = p.orders.Cancel(p.now, "hand"+name)
+				}
+			case 10:
+				one, _ := json.Marshal(p.b)
+				two, _ := json.Marshal(p.orders)
+				var err error
+				if p.b, err = Restore(one); err != nil {
+					t.Fatal(err)
+				}
+				if p.orders, err = order.Restore(two); err != nil {
+					t.Fatal(err)
+				}
+			default:
+				p.step()
+			}
+			check(event)
+		}
+		p.errors = 0
+		for _, name := range names {
+			_, _ = p.orders.Cancel(p.now, "hand"+name)
+		}
+		was := map[string]string{}
+		if r := p.b.Current; r != nil {
+			was = r.Versions
+			_ = p.b.Back(p.now, "")
+		}
+		for range 300 {
+			p.step()
+			check("on the way back")
+		}
+		for name, g := range p.all {
+			if was[name] != "" && g.Program != was[name] || !g.Serving {
+				t.Fatalf("%s runs as %s, before the release as %s; serving %v; %v; %+v", name, g.Program, was[name], g.Serving, p.b.Current, p.orders.List())
+			}
+		}
+		if n := len(p.out()); n > 0 || p.b.Current != nil {
+			t.Fatalf("%d are out still, %v", n, p.b.Current)
+		}
+	})
+}
+
+// What is rare is not in a mean: a tail, and a class by itself.
+func TestTailAndClasses(t *testing.T) {
+	r := &Release{Plan: Plan{To: "x"}}
+	r.fill()
+	figures := func(slow, seats, inTime uint64) Figures {
+		f := Figures{Taken: 1000, Served: 1000, Times: make([]uint64, Buckets), Classes: map[string]Class{"maps": {900, 890}, "seats": {seats, inTime}}}
+		f.Times[Bucket(20*time.Millisecond)], f.Times[Bucket(time.Second)] = 1000-slow, slow
+		return f
+	}
+	others := figures(0, 100, 99)
+	for what, x := range map[string]struct {
+		f    Figures
+		want verdict
+	}{"as the others": {figures(2, 100, 99), good}, "a tail": {figures(60, 100, 99), bad}, "a class": {figures(0, 100, 60), bad}, "a class with a handful": {figures(0, 10, 0), good}} {
+		if v, why := judgeMore(r, x.f, others, Figures{}); v != x.want {
+			t.Errorf("%s: %v %s", what, v, why)
+		}
+	}
+	if v, why := judgeMore(r, figures(500, 100, 0), Figures{}, Figures{}); v != good {
+		t.Errorf("with nothing to hold it against: %v %s", v, why)
+	}
+	for _, d := range []time.Duration{0, time.Millisecond, 3 * time.Millisecond, time.Second, time.Hour} {
+		if b := Bucket(d); b < Buckets-1 && (bound(b)+100*time.Microsecond < d || b > 0 && bound(b-1) > d) {
+			t.Errorf("%v is in bucket %d, up to %v", d, b, bound(b))
+		}
+	}
+}
+
+// A zone that is lost halts it; what is drained and has not left comes back, and nothing more goes out.
+func TestLostZoneHalts(t *testing.T) {
+	p := newPrograms(8, 2)
+	if err := p.b.Begin(p.now, Plan{ID: "r", To: "v2", Program: true, Soak: 2 * time.Second, Back: true, Gate: Gate{Requests: 50}}); err != nil {
+		t.Fatal(err)
+	}
+	for len(p.out()) == 0 {
+		p.step()
+	}
+	for _, g := range p.all {
+		if g.Site == "t" && g.Zone == "b" {
+			g.Here, g.Serving = false, false
+			p.away[g.Name], p.next[g.Name] = 50, g.Program
+		}
+	}
+	for range 10 {
+		p.step()
+	}
+	if r := p.b.Current; r == nil || r.State != Halted || r.Why == "" || len(p.out()) > 0 {
+		t.Fatalf("%v, out %v", r, p.out())
+	}
+}
+
+// Before a release of a program begins: every gateway that is there has to be supervised, and one has to run as something else.
+func TestRefusedPrograms(t *testing.T) {
+	p := newPrograms(3, 1)
+	for what, plan := range map[string]Plan{"no name": {ID: "a", To: "a/b", Program: true}, "there already": {ID: "a", To: "v1", Program: true}, "grace": {ID: "a", To: "v2", Program: true, Grace: -1}} {
+		if err := p.b.Begin(p.now, plan); err == nil {
+			t.Errorf("%s: it begins", what)
+		}
+	}
+	p.all["g01"].Program = ""
+	p.step()
+	if err := p.b.Begin(p.now, Plan{ID: "a", To: "v2", Program: true}); err == nil {
+		t.Error("it begins though nobody supervises g01")
+	}
+}
--- a/internal/release/release.go
+++ b/internal/release/release.go
@@ -277,12 +277,14 @@
 
 // Book is the release under way with what it is judged by. A Book is for one goroutine at a time; the same calls give the same book.
 type Book struct {
-	Version  uint64             `json:"version"` // rises with each change that gateways are to know of
-	Now      time.Duration      `json:"now"`
-	Texts    map[string]string  `json:"texts"`              // configurations by digest
-	Order    []string           `json:"order"`              // of Texts, the oldest first
-	Base     string             `json:"base"`               // what every gateway has where no release is under way
-	Program  string             `json:"program,omitempty"`  // the version that every gateway is to run as; empty: none was released
+	Version uint64            `json:"version"` // rises with each change that gateways are to know of
+	Now     time.Duration     `json:"now"`
+	Texts   map[string]string `json:"texts"`             // configurations by digest
+	Order   []string          `json:"order"`             // of Texts, the oldest first
+	Base    string            `json:"base"`              // what every gateway has where no release is under way
+	Program string            `json:"program,omitempty"` // the version that every gateway is to run as; empty: none was released
+	// Versions are what gateways ran as before a release of a program that went back, for those that come back later.
+	Versions map[string]string  `json:"versions,omitempty"`
 	Restarts uint64             `json:"restarts,omitempty"` // orders that Pace has asked for
 	Current  *Release           `json:"current,omitempty"`
 	Ended    []Release          `json:"ended,omitempty"`
@@ -488,9 +490,14 @@
 // end puts a release away.
 func (b *Book) end(s State, why string) {
 	b.set(s, why)
+	if b.Current.Program {
+		b.Versions = nil
+	}
 	switch r := b.Current; {
 	case s == Done && r.Program:
 		b.Program = r.To
+	case s == Gone && r.Program:
+		b.Versions = r.Versions
 	case s == Done:
 		b.Base = r.To
 	case s == Stopped && r.Program: // a version is each gateway's own then
@@ -574,7 +581,7 @@
 	r := b.Current
 	switch {
 	case r == nil || !r.Program:
-		return b.Program
+		return cmp.Or(b.Versions[name], b.Program)
 	case r.released(name):
 		return r.To
 	case r.Versions[name] != "":
--- a/internal/standin/cluster/program_test.go
+++ b/internal/standin/cluster/program_test.go
@@ -3,17 +3,241 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"arrowhitch/internal/fakes"
+	"arrowhitch/internal/order"
 	"arrowhitch/internal/quorum"
 	"arrowhitch/internal/release"
 )
 
+// previous is the build that this one has to work beside: the last commit of the landing before.
+const previous = "3acd1043bac94fdc604212d3f823228b0287a8d6"
+
+// The previous build beside this one, under load: voters and gateways go over to this one by one and none of their requests is lost,
+// duties are handed on; while a voter is of the previous build nothing is ordered, with a word why, and then it is; one that goes back to
+// the previous build serves.
+func TestBesideThePreviousBuild(t *testing.T) {
+	fakes.Leaks(t)
+	dir := t.TempDir()
+	old, skip, err := BuildAt(t.Context(), dir, previous)
+	if skip != "" {
+		t.Skip(skip)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	a, err := NewAuditor("receiver")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer a.Close()
+	s, err := NewSite(t.Context(), SiteOptions{Binary: old, Dir: dir, Gateways: 4, Lease: testLease, Budgets: "[{name: g, most: 1}]", Posts: map[string]*End{"audit": &a.End}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	load := s.Load(50)
+	defer load.Stop()
+	acts := func(what string) {
+		t.Helper()
+		before, _ := a.Last()
+		comes(t, "an act, "+what, func() bool { x, _ := a.Last(); return x.At > before.At })
+	}
+	drain := func(by int, id string) (order.Order, error) {
+		return s.Nodes[by].Order("drain", order.Order{ID: id, Target: order.Target{Gateway: "n3"}, Grace: time.Second, Notice: 100 * time.Millisecond})
+	}
+	restart := func(n *Node, binary string) {
+		t.Helper()
+		if s.opt.Binaries == nil {
+			s.opt.Binaries = map[int]string{}
+		}
+		s.opt.Binaries[n.Number] = binary
+		n.Kill()
+		if err := n.Start(); err != nil {
+			t.Fatal(err)
+		}
+		comes(t, n.Name+" to be ready", n.Ready)
+	}
+	acts("by the previous build")
+	for i, n := range s.Nodes {
+		restart(n, binary(t))
+		acts("with " + n.Name + " of this build")
+		if i == 1 { // of three voters one is of the previous build
+			comes(t, "an order to be refused for it", func() bool {
+				_, err := drain(0, "early")
+				return err != nil && (strings.Contains(err.Error(), "earlier version") || strings.Contains(err.Error(), "previous"))
+			})
+		}
+	}
+	comes(t, "an order to be taken", func() bool { _, err := drain(1, "late"); return err == nil })
+	comes(t, "n3 to be out", func() bool { m, _ := s.Nodes[0].Orders(); return m["late"].State == order.Done })
+	if _, err := s.Nodes[2].Order("undrain", order.Order{ID: "late"}); err != nil {
+		t.Fatal(err)
+	}
+	comes(t, "n3 to be back", func() bool { m, _ := s.Nodes[0].Orders(); return m["late"].State == order.Ended })
+	restart(s.Nodes[3], old)
+	acts("with n3 of the previous build again")
+	if why := load.Stop(); why != "" || load.Asked.Load() < 200 {
+		t.Errorf("%d of %d requests failed, first %s", load.Failed.Load(), load.Asked.Load(), why)
+	}
+	if f := Audit(a.Acts()); f.Broken() {
+		t.Error(f.First)
+	}
+}
+
+// Orders of zones, all or none, and the end of a grace: two operators at once get one zone of two; a zone whose loss the budget does
+// not bear is refused; a zone of servers gets nothing new from any gateway; what a drained gateway has in hand when its grace is over
+// is answered there by class, unless it is waited for.
+func TestZonesAndTheEndOfAGrace(t *testing.T) {
+	fakes.Leaks(t)
+	s, err := NewSite(t.Context(), SiteOptions{Binary: binary(t), Dir: t.TempDir(), Gateways: 4, Lease: testLease, Zones: []string{"a", "b"},
+		Budgets: `[{name: site, each: site, most: 2}, {name: ends, cluster: "*", most: 2}]`})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	load := s.Load(20)
+	defer load.Stop()
+	state := func(id string) order.Order { m, _ := s.Nodes[2].Orders(); return m[id] }
+	ask := func(by int, o order.Order) (order.Order, error) {
+		o.Owner = "test"
+		if o.Grace == 0 {
+			o.Grace, o.Notice = 5*time.Second, 300*time.Millisecond
+		}
+		return s.Nodes[by].Order("drain", o)
+	}
+	back := func(id string) {
+		t.Helper()
+		if _, err := s.Nodes[1].Order("undrain", order.Order{ID: id}); err != nil {
+			t.Fatal(err)
+		}
+		comes(t, id+" to end", func() bool { return state(id).State == order.Ended })
+	}
+	comes(t, "the gateways to be known", func() bool {
+		var l quorum.Orders
+		return s.Nodes[0].get("/fleet/orders", &l) == nil && len(l.Budgets) > 0 && l.Budgets[0].Of == 4
+	})
+	var work sync.WaitGroup
+	for i, zone := range []string{"a", "b"} {
+		work.Go(func() { _, _ = ask(i, order.Order{ID: zone, Target: order.Target{Site: "s", Zone: zone}}) })
+	}
+	work.Wait()
+	comes(t, "one zone to be out", func() bool { return state("a").State == order.Done || state("b").State == order.Done })
+	out, waits := "a", "b"
+	if state("b").State == order.Done {
+		out, waits = "b", "a"
+	}
+	if o := state(waits); o.State != order.Asked || !strings.Contains(o.Why, "2 of 4 are out") {
+		t.Errorf("the other zone: %+v", o)
+	}
+	for i, n := range s.Nodes {
+		if (i%2 == int(out[0]-'a')) == n.Ready() {
+			t.Errorf("with zone %s out %s is ready: %v", out, n.Name, n.Ready())
+		}
+	}
+	back(waits)
+	back(out)
+	// Servers: the zone of two is out together, with one more there is no room.
+	if _, err := ask(3, order.Order{ID: "ends", Target: order.Target{Cluster: "c", Zone: "a"}}); err != nil {
+		t.Fatal(err)
+	}
+	comes(t, "a zone of servers to be out", func() bool { return state("ends").State == order.Done })
+	at := time.Now()
+	if o, err := ask(0, order.Order{ID: "third", Target: order.Target{Cluster: "c", Endpoint: s.Origins[1].Addr}}); err != nil || o.State != order.Asked {
+		t.Errorf("a third server: %+v, %v", o, err)
+	}
+	before := s.Origins[1].Requests()
+	comes(t, "the other server to serve", func() bool { return s.Origins[1].Requests() > before+20 })
+	if n := s.Origins[0].After(at) + s.Origins[2].After(at); n > 0 {
+		t.Errorf("%d requests to a zone that is out", n)
+	}
+	back("third")
+	back("ends")
+	if why := load.Stop(); why != "" || load.Asked.Load() < 100 {
+		t.Fatalf("%d of %d requests failed, first %s", load.Failed.Load(), load.Asked.Load(), why)
+	}
+
+	type answer struct {
+		status int
+		again  string
+		took   time.Duration
+	}
+	play := func(id string, o order.Order) map[string]answer {
+		t.Helper()
+		// A request that takes longer than a grace; the server says when it has it.
+		arrived, release := make(chan struct{}, 8), make(chan struct{})
+		for _, x := range s.Origins {
+			x.Script(func(w http.ResponseWriter, r *http.Request) bool {
+				arrived <- struct{}{}
+				select {
+				case <-release:
+				case <-r.Context().Done():
+				}
+				return false
+			})
+		}
+		var mu sync.Mutex
+		got := map[string]answer{}
+		var work sync.WaitGroup
+		for _, method := range []string{http.MethodGet, http.MethodPost} {
+			work.Go(func() {
+				began := time.Now()
+				req, err := http.NewRequestWithContext(t.Context(), method, "http://"+s.Nodes[0].Web+"/", nil)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(req)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				resp.Body.Close()
+				mu.Lock()
+				got[method] = answer{resp.StatusCode, resp.Header.Get("Retry-After"), time.Since(began)}
+				mu.Unlock()
+			})
+		}
+		<-arrived
+		<-arrived
+		o.ID, o.Target, o.Grace, o.Notice = id, order.Target{Gateway: "n0"}, time.Second, 200*time.Millisecond
+		if _, err := ask(1, o); err != nil {
+			t.Fatal(err)
+		}
+		if o.Wait {
+			comes(t, "it to be overdue", func() bool { return state(id).State == order.Overdue })
+			if x := state(id); x.InHand != 2 {
+				t.Errorf("overdue with %d in hand", x.InHand)
+			}
+			close(release)
+		}
+		comes(t, "it to be done", func() bool { return state(id).State == order.Done })
+		work.Wait()
+		if !o.Wait {
+			close(release)
+		}
+		for _, x := range s.Origins {
+			x.Script(nil)
+		}
+		back(id)
+		return got
+	}
+	got := play("answers", order.Order{})
+	if g, p := got[http.MethodGet], got[http.MethodPost]; g.status != 503 || g.again == "" || p.status != 504 || p.again != "" || g.took < time.Second || g.took > 6*time.Second {
+		t.Errorf("at the end of the grace: GET %+v, POST %+v", g, p)
+	}
+	if got = play("waits", order.Order{Wait: true}); got[http.MethodGet].status != 200 || got[http.MethodPost].status != 200 {
+		t.Errorf("waited for: %+v", got)
+	}
+}
+
 // script writes a program that changes a gateway's file and goes on as another one, under the same process number.
 func script(t testing.TB, dir, name, program, change string) string {
 	t.Helper()
--- a/internal/standin/cluster/site.go
+++ b/internal/standin/cluster/site.go
@@ -23,6 +23,7 @@
 	Origins []*origin.Origin
 	dir     string
 	version int
+	zones   []string // of the servers in turn
 }
 
 // SiteOptions are what a Site is made of.
@@ -37,7 +38,7 @@
 	Posts       map[string]*End
 	Sites       []string // of the gateways in turn; nil: one
 	Budgets     string   // of the file; empty: what is taken without
-	Zones       []string // of the gateways in turn; nil: none
+	Zones       []string // of the gateways, and of the servers, in turn; nil: none
 	File        string   // more sections of every gateway's file
 	Versions    map[string]string
 	Version     string
@@ -45,7 +46,7 @@
 
 // NewSite starts one, and waits until every gateway is ready.
 func NewSite(ctx context.Context, o SiteOptions) (*Site, error) {
-	s := &Site{}
+	s := &Site{zones: o.Zones}
 	var err error
 	if s.dir, err = os.MkdirTemp(o.Dir, "site-"); err != nil {
 		return nil, err
@@ -116,7 +117,11 @@
 	s.version++
 	var l []controlplane.Endpoint
 	for _, i := range origins {
-		l = append(l, controlplane.Endpoint{Addr: s.Origins[i].Addr})
+		e := controlplane.Endpoint{Addr: s.Origins[i].Addr}
+		if len(s.zones) > 0 {
+			e.Zone = s.zones[i%len(s.zones)]
+		}
+		l = append(l, e)
 	}
 	return s.Plane.Push(strconv.Itoa(s.version), false, controlplane.Resource{Name: "c", Body: controlplane.Cluster("c", "")},
 		controlplane.Resource{Name: "c", Body: controlplane.Assignment("c", l...)})
