--- a/internal/fleet/orders.go
+++ b/internal/fleet/orders.go
@@ -79,6 +79,7 @@
 	want         string
 	has, refused string
 	told         time.Duration // when the leader spoke last
+	under        bool          // by its word, a release is under way
 	wantProgram  string
 	notThis      string
 	forgiven     bool
@@ -95,6 +96,8 @@
 	Want    string     `json:"want"` // the configuration that this gateway is to have
 	Version uint64     `json:"version"`
 	Program *string    `json:"program,omitempty"` // the version that it is to run as; empty: the one that it does; nil: it is not said
+	// Under: a release is under way.
+	Under bool `json:"under,omitempty"`
 }
 
 // Supervised has this process started as other versions by releases. It is called before Start.
@@ -130,8 +133,9 @@
 		default:
 		}
 	}
-	if t.Program != nil {
+	if t.Program != nil { // a leader's word, not a voter's
 		o.follow(*t.Program)
+		o.under = t.Under
 	}
 	r := o.agent.Ordered(t.View, t.Full)
 	r.Program, r.NotThis = o.runs, o.notThis
@@ -187,10 +191,18 @@
 	tick := time.NewTicker(beat)
 	defer tick.Stop()
 	born, trial := o.f.now(), o.program != nil && o.program.Trial()
+	// What was given up for silence while the fleet had taken it is tried again: nobody was heard of for other reasons as well.
+	var again, pause time.Duration
 	before, since := "", time.Duration(0) // what was in use, and since when another one is that nobody has seen at work yet
 	for {
 		o.mu.Lock()
 		want, has, refused, heard := o.want, o.has, o.refused, o.told
+		if want == has {
+			again = 0
+		}
+		if again > 0 && !o.under && o.f.now() >= again && heard > again-pause {
+			again, refused, o.refused = 0, "", ""
+		}
 		switch {
 		case trial && heard > 0:
 			if err := o.program.Proved(); err != nil {
@@ -209,7 +221,8 @@
 			since = 0
 		case since > 0 && o.f.now()-since > deadMan*beat:
 			o.use(ctx, before, "with it nobody is heard of any more")
-			since = 0
+			pause = min(max(2*pause, deadMan*beat), time.Hour)
+			since, again = 0, o.f.now()+pause
 		case want != has && refused == "":
 			if o.use(ctx, want, "") {
 				before, since = has, o.f.now()
@@ -353,7 +366,7 @@
 			one, cancel := context.WithTimeout(ctx, 2*f.conf.Quorum.Heartbeat.D())
 			defer cancel()
 			var r Report
-			if f.node.Call(one, m.Address, ordersPath, told{view, full, want.Config[m.Name], want.Version, new(want.Program[m.Name])}, &r) == nil && r.Version >= view.Version {
+			if f.node.Call(one, m.Address, ordersPath, told{view, full, want.Config[m.Name], want.Version, new(want.Program[m.Name]), want.Under}, &r) == nil && r.Version >= view.Version {
 				reports[i] = &r
 			}
 		})
--- a/internal/release/pace_test.go
+++ b/internal/release/pace_test.go
@@ -250,3 +250,113 @@
 		t.Error("it begins though nobody supervises g01")
 	}
 }
+
+// Every sequence of six events of a release of a program over two gateways of which one may be out: begun, halted, resumed, taken back,
+// stopped, rounds, a gateway that dies and comes back, and another leader. Never both out by plan, what each is to run as is the old or the
+// new version, halted nothing more goes out, and on the way back nobody is sent forward.
+func TestEveryOrderOfRelease(t *testing.T) {
+	states, seen := 0, map[string]bool{}
+	type stored struct {
+		Rel, Orders json.RawMessage
+		All         map[string]Gateway
+		Away        map[string]int
+		Next        map[string]string
+		Now         time.Duration
+	}
+	save := func(p *programs) []byte {
+		s := stored{All: map[string]Gateway{}, Away: p.away, Next: p.next, Now: p.now}
+		s.Rel, _ = json.Marshal(p.b)
+		s.Orders, _ = json.Marshal(p.orders)
+		for n, g := range p.all {
+			s.All[n] = *g
+		}
+		text, err := json.Marshal(s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return text
+	}
+	load := func(text []byte) *programs {
+		var s stored
+		if err := json.Unmarshal(text, &s); err != nil {
+			t.Fatal(err)
+		}
+		p := &programs{fleet: &fleet{all: map[string]*Gateway{}, now: s.Now, load: 100}, most: 1, away: s.Away, next: s.Next}
+		var err error
+		if p.b, err = Restore(s.Rel); err != nil {
+			t.Fatal(err)
+		}
+		if p.orders, err = order.Restore(s.Orders); err != nil {
+			t.Fatal(err)
+		}
+		for n, g := range s.All {
+			p.all[n] = &g
+		}
+		return p
+	}
+	forward := func(p *programs) (n int) {
+		for _, o := range p.orders.Orders {
+			if o.Restart == "v2" && o.State.Out() {
+				n++
+			}
+		}
+		return n
+	}
+	var walk func(text []byte, depth int)
+	walk = func(text []byte, depth int) {
+		for event := range 8 {
+			p := load(text)
+			state, before := State(""), forward(p)
+			if p.b.Current != nil {
+				state = p.b.Current.State
+			}
+			switch event {
+			case 0:
+				_ = p.b.Begin(p.now, Plan{ID: "r", To: "v2", Program: true, Soak: time.Millisecond, Gate: Gate{Requests: 1}})
+			case 1:
+				_ = p.b.Halt(p.now, "")
+			case 2:
+				_ = p.b.Resume(p.now)
+			case 3:
+				_ = p.b.Back(p.now, "")
+			case 4:
+				_ = p.b.Stop(p.now, "")
+			case 5:
+				g := p.all["g00"]
+				if _, away := p.away["g00"]; !away && g.Here {
+					g.Here, g.Serving = false, false
+					p.away["g00"], p.next["g00"] = 2, g.Program
+				}
+			case 6:
+				p.b.Lead(0)
+				p.orders.Lead(0)
+				p.now = 0
+			default:
+				p.step()
+			}
+			p.b.Pace(p.now, p.orders)
+			if n := len(p.out()); n > 1 {
+				t.Fatalf("%d are out by plan after event %d: %+v", n, event, p.orders.List())
+			}
+			for name := range p.all {
+				if w := p.b.WantProgram(name); w != "" && w != "v1" && w != "v2" {
+					t.Fatalf("%s is to run as %q", name, w)
+				}
+			}
+			if r := p.b.Current; r != nil && r.State == state && (state == Halted || state == Going) && forward(p) > before {
+				t.Fatalf("%s, and one more goes forward after event %d: %+v", state, event, p.orders.List())
+			}
+			states++
+			next := save(p)
+			if key := fmt.Sprint(depth, string(next)); depth > 1 && !seen[key] {
+				seen[key] = true
+				walk(next, depth-1)
+			}
+		}
+	}
+	walk(save(newPrograms(2, 1)), 6)
+	if states < 2000 {
+		t.Errorf("%d states", states)
+	}
+	t.Log(states, "steps")
+}
--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -73,7 +73,9 @@
 	mu              sync.Mutex
 	p               *proc.Process
 	starts          int
+	epoch           int // changes with each start, freeze and thaw
 	frozen          bool
+	came            bool // it listens for operators
 }
 
 // Cluster is the fleet. Its methods may be called by several goroutines at once.
@@ -294,11 +296,15 @@
 		return err
 	}
 	n.mu.Lock()
-	n.p, n.frozen = p, false
+	n.p, n.frozen, n.came = p, false, false
 	n.starts++
+	n.epoch++
 	n.mu.Unlock()
 	select {
 	case <-up:
+		n.mu.Lock()
+		n.came = true
+		n.mu.Unlock()
 		return nil
 	case <-p.Exited:
 		return p.Died()
@@ -338,11 +344,18 @@
 	return n.starts
 }
 
-// Up tells whether its process runs and is not frozen.
+// Epoch changes with each start, freeze and thaw: what was known of it before says nothing of it now.
+func (n *Node) Epoch() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.epoch
+}
+
+// Up tells whether its process has come up, runs and is not frozen.
 func (n *Node) Up() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.p != nil && n.p.Running() && !n.p.Killed() && !n.frozen
+	return n.p != nil && n.came && n.p.Running() && !n.p.Killed() && !n.frozen
 }
 
 // Kill ends its process at once.
@@ -357,6 +370,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.frozen = true
+	n.epoch++
 	n.p.Freeze()
 }
 
@@ -365,6 +379,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.frozen = false
+	n.epoch++
 	n.p.Thaw()
 }
 
@@ -379,6 +394,21 @@
 	return n.Start()
 }
 
+// Plain has a supervised node run another version as a plain script does: told to end, linked, started.
+func (n *Node) Plain(version string) error {
+	if p := n.Process(); p != nil {
+		p.Stop(20 * time.Second)
+	}
+	link := filepath.Join(n.Dir, "current")
+	if err := os.Remove(link); err != nil {
+		return err
+	}
+	if err := os.Symlink(filepath.Join("versions", version), link); err != nil {
+		return err
+	}
+	return n.Start()
+}
+
 // Votes is the folder of its vote.
 func (n *Node) Votes() string { return filepath.Join(n.Dir, "votes") }
 
--- /dev/null
+++ b/internal/standin/cluster/releases.go
@@ -0,0 +1,249 @@
+package cluster
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"arrowhitch/internal/fleet"
+	"arrowhitch/internal/order"
+	"arrowhitch/internal/quorum"
+	"arrowhitch/internal/release"
+)
+
+// ReleaseVerdict is what came of one schedule of releases.
+type ReleaseVerdict struct {
+	DrainVerdict
+	Releases, Done, Back int
+	Starts               int // of versions, as the supervisors said
+	Same                 int // of them, those that were asked for and were of the version that ran: a step twice
+}
+
+// Broken tells whether a promise was broken.
+func (v *ReleaseVerdict) Broken() bool { return v.DrainVerdict.Broken() || v.Same > 0 }
+
+func (v *ReleaseVerdict) String() string {
+	return fmt.Sprintf("%s\n  %d releases, %d done, %d back; %d starts, %d of them as the same version", &v.DrainVerdict, v.Releases, v.Done, v.Back, v.Starts, v.Same)
+}
+
+// starts follows what supervisors say.
+type starts struct {
+	mu    sync.Mutex
+	last  map[int]string // the version that ended as it asked, by node
+	all   int
+	same  int
+	first string
+}
+
+func (s *starts) line(node int, text string) {
+	_, version, ok := strings.Cut(text, "msg=started version=")
+	asked := strings.Contains(text, `msg="started again as it asked"`)
+	if !ok && !asked {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if asked {
+		_, s.last[node], _ = strings.Cut(text, "from=")
+		return
+	}
+	version, _, _ = strings.Cut(version, " ")
+	if s.all++; s.last[node] == version {
+		if s.same++; s.first == "" {
+			s.first = fmt.Sprintf("n%d was asked to start anew as %s, which ran", node, version)
+		}
+	}
+	delete(s.last, node)
+}
+
+// Sections of a configuration that can be used, and of one that cannot.
+const (
+	usable   = "routes: [{match: {prefix: /}, cluster: c}, {match: {prefix: /more}, cluster: c}]\n"
+	unusable = "routes: [{match: {prefix: /}, cluster: nobody}]\nlisteners: []\n"
+)
+
+// PlayReleases plays one schedule: releases of versions, good ones and one that crashes, and of configurations, begun, halted, resumed
+// and taken back at any gateway, drains by hand in between, while processes are killed, frozen and cut off; the observer of drains looks on.
+func PlayReleases(ctx context.Context, seed uint64, opt DrainOptions) (v ReleaseVerdict) {
+	v.Seed = seed
+	fail := func(err error) ReleaseVerdict { v.Err = err; return v }
+	dir, err := os.MkdirTemp(opt.Dir, fmt.Sprintf("releases-%d-", seed))
+	if err != nil {
+		return fail(err)
+	}
+	defer os.RemoveAll(dir)
+	crash := filepath.Join(dir, "crash")
+	if err := os.WriteFile(crash, []byte("#!/bin/sh\nexit 3\n"), 0o700); err != nil {
+		return fail(err)
+	}
+	budgets := fmt.Sprintf("[{name: g, most: %d}]", drainBudget)
+	if opt.Apart {
+		budgets = "[{name: g, most: 99}]"
+	}
+	seen := &starts{last: map[int]string{}}
+	s, err := NewSite(ctx, SiteOptions{Binary: opt.Binary, Dir: dir, Gateways: drainGateways, Lease: opt.Lease, Budgets: budgets, Seed: seed, Lines: seen.line,
+		Version: "v1", Versions: map[string]string{"v1": opt.Binary, "v2": opt.Binary, "crash": crash}})
+	if err != nil {
+		return fail(err)
+	}
+	defer s.Close()
+	rng := rand.New(rand.NewPCG(seed, 0x4e1e))
+	load := s.Load(20)
+	defer load.Stop()
+	stop := s.watch(&v.DrainVerdict, drainBudget)
+	defer func() { stop() }()
+	var open []string
+	version := "v1"
+	do := func(n *Node, c quorum.Command) bool { return n.Up() && n.Release(c) == nil }
+	for step := range cmp.Or(opt.Steps, drainSteps+4) {
+		n := s.Nodes[rng.IntN(drainGateways)]
+		victim := n // of a fault; half of all hit who runs the release
+		if rng.IntN(2) == 0 {
+			if l := s.Leader(); l != nil {
+				victim = l
+			}
+		}
+		id := fmt.Sprint(seed, "-", step)
+		p := &release.Plan{ID: id, Soak: 200 * time.Millisecond, Back: rng.IntN(2) == 0, Grace: time.Second, Notice: 250 * time.Millisecond,
+			Gate: release.Gate{Requests: 5, Slower: 50, Tail: 50, Memory: 10, InTime: 0.9}}
+		switch k := rng.IntN(15); {
+		case k < 4:
+			p.Program, p.To = true, map[string]string{"v1": "v2", "v2": "v1"}[version]
+			if rng.IntN(4) == 0 {
+				p.To = "crash"
+			}
+			if do(n, quorum.Command{Op: quorum.ReleaseBegin, Plan: p}) {
+				v.Releases++
+				if p.To != "crash" {
+					version = p.To
+				}
+			}
+		case k == 4:
+			text := []string{usable, unusable}[rng.IntN(2)]
+			p.To = fleet.ConfigDigest([]byte(text))
+			if do(n, quorum.Command{Op: quorum.Put, Digest: p.To, Text: text}) && do(n, quorum.Command{Op: quorum.ReleaseBegin, Plan: p}) {
+				v.Releases++
+			}
+		case k < 7 && rng.IntN(2) == 0:
+			do(n, quorum.Command{Op: []quorum.Op{quorum.ReleaseHalt, quorum.ReleaseBack}[k-5], Text: "by hand"})
+		case k == 7:
+			do(n, quorum.Command{Op: quorum.ReleaseResume})
+		case k == 8 && n.Up():
+			o, err := n.Order("drain", order.Order{ID: id, Target: order.Target{Gateway: s.Nodes[rng.IntN(drainGateways)].Name}, Grace: time.Second, Notice: 250 * time.Millisecond})
+			if v.Asked++; err == nil && o.State != order.Refused {
+				open = append(open, id)
+			}
+		case k == 9 && len(open) > 0 && n.Up():
+			if _, err := n.Order("undrain", order.Order{ID: open[0]}); err == nil {
+				open = open[1:]
+			}
+		case k == 10:
+			victim.Kill()
+			_ = sleep(ctx, opt.Lease/2)
+			if err := victim.Start(); err != nil {
+				return fail(err)
+			}
+		case k == 11 && victim.Up():
+			victim.Freeze()
+			_ = sleep(ctx, opt.Lease)
+			victim.Thaw()
+		case k == 12:
+			s.Alone(victim, Way{Cut: true})
+			_ = sleep(ctx, opt.Lease)
+			s.Heal()
+		case k == 13: // no quorum for longer than a version on trial waits for a word
+			for _, v := range s.Nodes[:2] {
+				v.Kill()
+			}
+			_ = sleep(ctx, 5*opt.Lease)
+			for _, v := range s.Nodes[:2] {
+				if err := v.Start(); err != nil {
+					return fail(err)
+				}
+			}
+		}
+		_ = sleep(ctx, time.Duration(rng.IntN(1500))*time.Millisecond)
+	}
+	// All comes to an end: orders are taken back by hand, the release too, and every gateway runs as it is to.
+	// Also those that were agreed on though the asker was told nothing.
+	if err := Await(ctx, "orders to be cancelled", back, func() bool {
+		m, err := s.Nodes[0].Orders()
+		for id, o := range m {
+			if strings.HasPrefix(id, fmt.Sprint(seed, "-")) && o.State != order.Ended && o.State != order.Refused && o.State != order.Cancelled {
+				_, e := s.Nodes[0].Order("undrain", order.Order{ID: id})
+				err = errors.Join(err, e)
+			}
+		}
+		return err == nil
+	}); err != nil {
+		return fail(err)
+	}
+	var l quorum.Releases
+	what := ""
+	err = Await(ctx, "the releases to end", 2*back, func() bool {
+		l = quorum.Releases{}
+		if err := s.Nodes[1].get("/fleet/releases", &l); err != nil || !l.Fresh {
+			what = fmt.Sprint("no word of them: ", err)
+			return false
+		}
+		if l.Current != nil {
+			what = l.Current.String()
+			if l.Current.State != release.Going {
+				_ = s.Nodes[1].Release(quorum.Command{Op: quorum.ReleaseBack, Text: "the end"})
+			}
+			return false
+		}
+		for _, g := range l.Gateways {
+			if to := l.Programs[g.Name]; !g.Here || g.Has != l.Want[g.Name] || to != "" && g.Program != to {
+				what = fmt.Sprintf("%s here %v has %q, is to have %q, runs as %q, is to run as %q %s", g.Name, g.Here, g.Has, l.Want[g.Name], g.Program, to, g.NotThis)
+				return false
+			}
+		}
+		return len(l.Gateways) == drainGateways
+	})
+	if err == nil {
+		err = Await(ctx, "every gateway to be back", back, func() bool {
+			for _, n := range s.Nodes {
+				if !n.Ready() {
+					what = n.Name + " is not ready"
+					return false
+				}
+			}
+			return true
+		})
+	}
+	if err != nil {
+		return fail(fmt.Errorf("%w: %s", err, what))
+	}
+	for _, r := range l.Ended {
+		switch r.State {
+		case release.Done:
+			v.Done++
+		case release.Gone:
+			v.Back++
+		}
+	}
+	stop()
+	if why := load.Stop(); why != "" && v.First == "" {
+		v.First = why
+	}
+	v.Requests, v.Failed = load.Asked.Load(), load.Failed.Load()
+	seen.mu.Lock()
+	defer seen.mu.Unlock()
+	if v.Starts, v.Same = seen.all, seen.same; v.First == "" {
+		v.First = seen.first
+	}
+	return v
+}
+
+// CampaignReleases plays schedules, so many at once, and tells of each as it ends.
+func CampaignReleases(ctx context.Context, seeds []uint64, at int, opt DrainOptions, each func(ReleaseVerdict)) {
+	spread(ctx, seeds, at, func(seed uint64) ReleaseVerdict { return PlayReleases(ctx, seed, opt) }, each)
+}
--- a/tools/measure/duties.go
+++ b/tools/measure/duties.go
@@ -102,6 +102,48 @@
 	return nil
 }
 
+// releases plays seeded schedules of releases, and some without budgets.
+func releases(seeds, at int, first uint64) error {
+	ctx, dir, binary, done, err := built()
+	defer done()
+	if err != nil {
+		return err
+	}
+	machine()
+	for _, apart := range []bool{false, true} {
+		n := min(seeds, mostSchedules)
+		if apart {
+			n = min(n, 10)
+		}
+		var list []uint64
+		for i := range n {
+			list = append(list, first+uint64(i))
+		}
+		began, sum, broken := time.Now(), cluster.ReleaseVerdict{}, 0
+		cluster.CampaignReleases(ctx, list, at, cluster.DrainOptions{Binary: binary, Dir: dir, Lease: 600 * time.Millisecond, Apart: apart}, func(v cluster.ReleaseVerdict) {
+			if v.Broken() {
+				if broken++; broken <= 5 || !apart {
+					fmt.Println(&v)
+				}
+			}
+			sum.Releases, sum.Done, sum.Back, sum.Starts, sum.Same = sum.Releases+v.Releases, sum.Done+v.Done, sum.Back+v.Back, sum.Starts+v.Starts, sum.Same+v.Same
+			sum.Asked, sum.Over, sum.Looks, sum.Requests, sum.Failed, sum.Most = sum.Asked+v.Asked, sum.Over+v.Over, sum.Looks+v.Looks, sum.Requests+v.Requests, sum.Failed+v.Failed, max(sum.Most, v.Most)
+		})
+		fmt.Printf("budgets %s: %d schedules in %v, %d at once; releases %d, done %d, back %d; drains by hand %d; starts of versions %d, %d twice\n",
+			map[bool]string{false: "kept by the quorum", true: "kept by nobody"}[apart], n, time.Since(began).Round(time.Second), at, sum.Releases, sum.Done, sum.Back, sum.Asked, sum.Starts, sum.Same)
+		fmt.Printf("  most out by plan %d (2 may be), over the budget at %d of %d looks; requests %d, failed %d; schedules broken %d\n", sum.Most, sum.Over, sum.Looks, sum.Requests, sum.Failed, broken)
+		switch {
+		case ctx.Err() != nil:
+			return ctx.Err()
+		case !apart && broken > 0:
+			return fmt.Errorf("%d schedules broke something", broken)
+		case apart && sum.Over == 0:
+			return fmt.Errorf("without budgets nothing was found: the observer is blind")
+		}
+	}
+	return nil
+}
+
 // drains plays seeded schedules of drains, and some with budgets that each asker keeps by itself.
 func drains(seeds, at int, first uint64) error {
 	ctx, dir, binary, done, err := built()
