release: a gateway is drained for a version once it has been told and does not refuse it

Tried by hand, a version that was not there had an order granted before the gateway had said so. Gateways tell which version they were told; Pace waits for it. Tests of fields that are handed on, with a fuzz of their form.

--- a/internal/fleet/orders.go
+++ b/internal/fleet/orders.go
@@ -36,6 +36,7 @@
 	Refused string          `json:"refused,omitempty"`
 	Figures release.Figures `json:"figures,omitzero"`
 	Program string          `json:"program,omitempty"`  // the version that it is supervised as
+	Told    string          `json:"told,omitempty"`     // the version that it was told to run as
 	NotThis string          `json:"not_this,omitempty"` // why it does not start as the version that it was told
 }
 
@@ -138,7 +139,7 @@
 		o.under = t.Under
 	}
 	r := o.agent.Ordered(t.View, t.Full)
-	r.Program, r.NotThis = o.runs, o.notThis
+	r.Program, r.Told, r.NotThis = o.runs, o.wantProgram, o.notThis
 	r.Birth, r.Has, r.Refused = o.f.list.Self().Birth, o.has, o.refused
 	if r.Pending {
 		r.Has = "pending"
@@ -399,7 +400,7 @@
 		seen.Gateways = append(seen.Gateways, g)
 		if r := reports[i]; r != nil {
 			seen.Release = append(seen.Release, release.Gateway{Name: g.Name, Site: g.Site, Zone: g.Zone, Birth: g.Birth, Here: true, Has: r.Has, Refused: r.Refused, Serving: r.Serving,
-				Program: r.Program, NotThis: r.NotThis, Figures: r.Figures})
+				Program: r.Program, Told: r.Told, NotThis: r.NotThis, Figures: r.Figures})
 		} else {
 			seen.Release = append(seen.Release, release.Gateway{Name: g.Name, Site: g.Site, Zone: g.Zone, Birth: g.Birth})
 		}
--- /dev/null
+++ b/internal/keep/keep_test.go
@@ -0,0 +1,74 @@
+package keep_test
+
+import (
+	"encoding/json"
+	"reflect"
+	"strings"
+	"testing"
+
+	"arrowhitch/internal/keep"
+	"arrowhitch/internal/lease"
+	"arrowhitch/internal/order"
+	"arrowhitch/internal/quorum"
+	"arrowhitch/internal/release"
+)
+
+// What a newer program says in messages and in what it stores goes through this one whole.
+func TestUnknownFieldsAreHandedOn(t *testing.T) {
+	for what, v := range map[string]any{"order": &order.Order{ID: "a"}, "orders": order.NewBook(), "releases": release.NewBook(), "leases": lease.NewTable(),
+		"command": &quorum.Command{Op: quorum.Ask, Order: &order.Order{ID: "a"}}, "release": &release.Release{Plan: release.Plan{ID: "r"}}} {
+		text, err := json.Marshal(v)
+		if err != nil {
+			t.Fatal(err)
+		}
+		newer := strings.TrimSuffix(string(text), "}") + `,"aged":{"x":[1,2]},"zeal":"y"}`
+		if err := json.Unmarshal([]byte(newer), v); err != nil {
+			t.Fatalf("%s: %v", what, err)
+		}
+		if text, err = json.Marshal(v); err != nil || string(text) != newer {
+			t.Errorf("%s: %s\ncame back as %s, %v", what, newer, text, err)
+		}
+	}
+	// An order's own are kept from the asking to the view that gateways are told.
+	b := order.NewBook()
+	var o order.Order
+	if err := json.Unmarshal([]byte(`{"id":"a","target":{"gateway":"g"},"grace":1000000000,"paint":"blue"}`), &o); err != nil {
+		t.Fatal(err)
+	}
+	_ = b.Limit(0, []order.Budget{{Name: "g", Scope: order.Scope{Gateways: true}, Most: 1}})
+	_ = b.See(0, 0, []order.Gateway{{Name: "g", Serving: true}, {Name: "h", Serving: true}}, nil)
+	if _, err := b.Ask(0, o); err != nil {
+		t.Fatal(err)
+	}
+	if text, _ := json.Marshal(b.View(1)); !strings.Contains(string(text), `"paint":"blue"`) {
+		t.Errorf("%s", text)
+	}
+}
+
+// Whatever object comes is read as encoding/json reads it, and written so that it reads the same.
+func FuzzKeep(f *testing.F) {
+	f.Add(`{"id":"a","ID":"b","x":1,"target":null}`)
+	f.Add(`{"id":1}`)
+	f.Add(`{"More":{"a":1},"":2}`)
+	f.Fuzz(func(t *testing.T, text string) {
+		type plain struct {
+			ID     string         `json:"id"`
+			Target map[string]any `json:"target,omitempty"`
+		}
+		var v, w plain
+		var more, again keep.Fields
+		if keep.Unmarshal([]byte(text), &v, &more) != nil {
+			return
+		}
+		if len(more) == 0 {
+			more = nil
+		}
+		out, err := keep.Marshal(v, more)
+		if err != nil {
+			t.Fatalf("%q: %v", text, err)
+		}
+		if err := keep.Unmarshal(out, &w, &again); err != nil || len(more) != len(again) || v.ID != w.ID || len(v.Target) != len(w.Target) {
+			t.Fatalf("%q became %s: %v, %v", text, out, err, reflect.DeepEqual(more, again))
+		}
+	})
+}
--- a/internal/lab/rollout.go
+++ b/internal/lab/rollout.go
@@ -239,6 +239,9 @@
 	var stands []release.Gateway
 	for _, g := range all {
 		seen = append(seen, order.Gateway{Name: g.Name, Site: g.Site, Zone: g.Zone, Birth: g.Birth, Serving: g.Serving})
+		if g.Here {
+			g.Told = rel.WantProgram(g.Name)
+		}
 		x := g.Gateway
 		if !g.Here {
 			x.Program, x.Figures = "", release.Figures{}
--- a/internal/release/pace.go
+++ b/internal/release/pace.go
@@ -14,7 +14,7 @@
 const restarts = "program/"
 
 // Pace has orders follow what versions gateways are to run as: each that is to start anew is drained for it, within the budgets that
-// all drains keep, on the way forward and on the way back, and its slot is held until it has been seen in service again. Halted, what
+// all drains keep, once it has been told and does not refuse, on the way forward and on the way back, and its slot is held until it has been seen in service again. Halted, what
 // has not left yet stays: it comes back first.
 func (b *Book) Pace(now time.Duration, orders *order.Book) {
 	open := map[string]*order.Order{}
@@ -38,7 +38,7 @@
 	for _, name := range slices.Sorted(maps.Keys(b.Gateways)) {
 		g := b.Gateways[name]
 		want := b.WantProgram(name)
-		moves := want != "" && want != g.Program && g.Program != "" && g.NotThis == "" && !halted
+		moves := want != "" && want != g.Program && g.Program != "" && g.Told == want && g.NotThis == "" && !halted
 		o := open[name]
 		switch {
 		case o != nil && (halted || g.Here && (!moves || o.Restart != want)):
--- a/internal/release/pace_test.go
+++ b/internal/release/pace_test.go
@@ -79,6 +79,9 @@
 	var seen []order.Gateway
 	for _, name := range slices.Sorted(maps.Keys(p.all)) {
 		g := p.all[name]
+		if g.Here {
+			g.Told = p.b.WantProgram(name)
+		}
 		x := *g
 		if g.Serving {
 			n := uint64(p.errors * float64(p.load))
--- a/internal/release/release.go
+++ b/internal/release/release.go
@@ -119,7 +119,8 @@
 	Serving bool `json:"serving"`
 	// Program is the version that it runs as; empty: nobody supervises it, and it cannot be started as another one.
 	Program string `json:"program,omitempty"`
-	// NotThis is why it does not start as the version that it was told.
+	// Told is the version that it was told to run as; NotThis is why it does not start as that.
+	Told    string `json:"told,omitempty"`
 	NotThis string `json:"not_this,omitempty"`
 	Figures
 }
--- a/internal/standin/cluster/program_test.go
+++ b/internal/standin/cluster/program_test.go
@@ -363,6 +363,13 @@
 			t.Errorf("%s: %d requests failed", x.to, n)
 		}
 	}
+	if m, err := s.Nodes[1].Orders(); err == nil {
+		for _, o := range m {
+			if o.Restart == "none" {
+				t.Errorf("drained for a version that is not there: %+v", o)
+			}
+		}
+	}
 	watch()
 	if v.Over > 0 || v.Most == 0 {
 		t.Errorf("%s", &v)
