quorum: names that are in no lease any more make room when the table of names is full

After 4,096 names of members that ever held or waited for a lease new ones were refused for good, as nobody proposed Forget. The leader does, once a minute at the most, when one is refused for it, and asks again. A test fills the table.

--- a/internal/quorum/quorum.go
+++ b/internal/quorum/quorum.go
@@ -69,11 +69,12 @@
 	work   sync.WaitGroup
 
 	mu      sync.Mutex
-	id      identity    // as on disk
-	name    string      // of id, which does not change
-	stopped string      // why it does not vote any more
-	leading atomic.Bool // and has counted every lease anew
-	behind  sync.Map    // voters that said last that they do not know all entries, by name
+	id      identity     // as on disk
+	name    string       // of id, which does not change
+	stopped string       // why it does not vote any more
+	leading atomic.Bool  // and has counted every lease anew
+	forgot  atomic.Int64 // when the leader last had names forgotten, as Unix time
+	behind  sync.Map     // voters that said last that they do not know all entries, by name
 }
 
 // Status is how a voter stands.
@@ -463,12 +464,24 @@
 		}
 	}
 	r, err := s.propose(c)
+	if err == nil && c.Op == Acquire && r.Code == "full" && s.mayForget() { // names that are in no lease any more make room
+		if _, err = s.propose(Command{Op: Forget}); err == nil {
+			r, err = s.propose(c)
+		}
+	}
 	if err != nil {
 		return s.elsewhere(err.Error()), nil
 	}
 	return reply{Result: r, Done: true}, nil
 }
 
+// mayForget tells whether the leader may have names forgotten now: where the names that are in use fill the table it is of no use.
+func (s *Server) mayForget() bool {
+	now := time.Now().UnixNano()
+	last := s.forgot.Load()
+	return now-last >= int64(time.Minute) && s.forgot.CompareAndSwap(last, now)
+}
+
 // Leases are all, as one voter knows them.
 type Leases struct {
 	Voter  string `json:"voter"`
--- a/internal/quorum/quorum_test.go
+++ b/internal/quorum/quorum_test.go
@@ -356,3 +356,38 @@
 	fakes.Eventually(t, "a leader", func() bool { return leads(l) != nil })
 	acquire(t, c, "b")
 }
+
+// A table full of names that are in no lease any more makes room for the one who asks; one full of names in use refuses.
+func TestNamesMakeRoom(t *testing.T) {
+	voters, c := three(t)
+	ask := func(name string) error {
+		r, _, err := c.Do(t.Context(), Command{Op: Acquire, Lease: "x", Rules: lease.Rules{Length: time.Second}, Member: lease.Member{Name: name, Birth: 1}})
+		if err == nil {
+			err = r.Err()
+		}
+		return err
+	}
+	for ask("first") != nil && t.Context().Err() == nil { // until one leads
+		time.Sleep(10 * time.Millisecond)
+	}
+	for _, v := range voters {
+		v.state.mu.Lock()
+		for i := range 4096 {
+			v.state.table.Births[fmt.Sprint("gone", i)] = 1
+		}
+		v.state.mu.Unlock()
+	}
+	if err := ask("new"); !errors.Is(err, lease.ErrWaiting) {
+		t.Errorf("with names that nobody has: %v", err)
+	}
+	for _, v := range voters {
+		v.state.mu.Lock()
+		for i := range 4096 {
+			v.state.table.Births[fmt.Sprint("gone", i)] = 1
+		}
+		v.state.mu.Unlock()
+	}
+	if err := ask("another"); !errors.Is(err, lease.ErrFull) {
+		t.Errorf("within a minute of it: %v", err)
+	}
+}
