--- a/cmd/robindrum/release.go
+++ b/cmd/robindrum/release.go
@@ -15,6 +15,7 @@
 	"github.com/spf13/cobra"
 
 	"arrowhitch/internal/fleet"
+	"arrowhitch/internal/order"
 	"arrowhitch/internal/quorum"
 	"arrowhitch/internal/release"
 	"arrowhitch/internal/supervise"
@@ -64,10 +65,7 @@
 		if err != nil {
 			return err
 		}
-		for i, w := range release.Waves(l.Gateways) {
-			fmt.Fprintf(c.OutOrStdout(), "wave %d, %d of %d: %s\n", i+1, len(w), len(l.Gateways), strings.Join(w, " "))
-		}
-		why := ""
+		waves, budgets, why := release.Waves(l.Gateways), []order.Standing{}, ""
 		if len(args) > 0 || version != "" {
 			if _, err := what(args); err != nil {
 				return err
@@ -90,18 +88,31 @@
 				if strings.HasPrefix(b.Scope, "cluster") {
 					continue
 				}
-				fmt.Fprintf(c.OutOrStdout(), "budget %s, %s: %d of %d may be out at once, %d are\n", b.Name, b.Scope, b.Bound, b.Of, len(b.Out))
-				if b.Bound == 0 {
+				if budgets = append(budgets, b); b.Bound == 0 {
 					why = cmp.Or(why, "budget "+b.Name+" allows none to be out")
 				}
 			}
 		}
+		if plain {
+			err := json.NewEncoder(c.OutOrStdout()).Encode(map[string]any{"waves": waves, "budgets": budgets, "refused": why})
+			if err == nil && why != "" {
+				err = exitCode(1)
+			}
+			return err
+		}
+		for i, w := range waves {
+			fmt.Fprintf(c.OutOrStdout(), "wave %d, %d of %d: %s\n", i+1, len(w), len(l.Gateways), strings.Join(w, " "))
+		}
+		for _, b := range budgets {
+			fmt.Fprintf(c.OutOrStdout(), "budget %s, %s: %d of %d may be out at once, %d are\n", b.Name, b.Scope, b.Bound, b.Of, len(b.Out))
+		}
 		if why != "" {
 			fmt.Fprintf(c.OutOrStdout(), "it would be refused: %s\n", why)
 			return exitCode(1)
 		}
 		return nil
 	}}
+	planned.Flags().BoolVar(&plain, "json", false, "print JSON")
 	planned.Flags().StringVar(&version, "program", "", "a `version` of the program")
 	c.AddCommand(planned)
 	start := &cobra.Command{Use: "start [FILE]", Short: "Start a release of a file's sections, or of a version of the program", Args: cobra.MaximumNArgs(1), RunE: func(c *cobra.Command, args []string) error {
--- a/internal/standin/cluster/drains.go
+++ b/internal/standin/cluster/drains.go
@@ -48,6 +48,18 @@
 	return s
 }
 
+// Add adds another verdict's numbers, Sum says them.
+func (v *DrainVerdict) Add(o *DrainVerdict) {
+	v.Asked, v.Granted, v.Over, v.Late, v.Looks = v.Asked+o.Asked, v.Granted+o.Granted, v.Over+o.Over, v.Late+o.Late, v.Looks+o.Looks
+	v.Requests, v.Failed, v.Most = v.Requests+o.Requests, v.Failed+o.Failed, max(v.Most, o.Most)
+}
+
+// Sum says the numbers of several.
+func (v *DrainVerdict) Sum() string {
+	return fmt.Sprintf("orders by hand %d, slots granted %d; most out %d (%d may be), over the budget at %d of %d looks; requests %d, failed %d; late to a drained endpoint %d",
+		v.Asked, v.Granted, v.Most, drainBudget, v.Over, v.Looks, v.Requests, v.Failed, v.Late)
+}
+
 // Numbers of a schedule of drains.
 const (
 	drainGateways = 5
--- a/internal/standin/cluster/releases.go
+++ b/internal/standin/cluster/releases.go
@@ -230,6 +230,13 @@
 			v.Back++
 		}
 	}
+	if m, err := s.Nodes[1].Orders(); err == nil {
+		for _, o := range m {
+			if o.Token > 0 {
+				v.Granted++
+			}
+		}
+	}
 	stop()
 	if why := load.Stop(); why != "" && v.First == "" {
 		v.First = why
--- a/tools/measure/duties.go
+++ b/tools/measure/duties.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"runtime"
 	"slices"
@@ -102,8 +103,9 @@
 	return nil
 }
 
-// releases plays seeded schedules of releases, and some without budgets.
-func releases(seeds, at int, first uint64) error {
+// campaigns plays seeded schedules within budgets that the quorum keeps, and some without: there the observer has to find something.
+// play gives what they came to in words, and the looks at which more were out than may be.
+func campaigns(seeds, at int, first uint64, play func(ctx context.Context, list []uint64, opt cluster.DrainOptions, each func(v fmt.Stringer, broken bool)) (sum string, over int)) error {
 	ctx, dir, binary, done, err := built()
 	defer done()
 	if err != nil {
@@ -119,70 +121,49 @@
 		for i := range n {
 			list = append(list, first+uint64(i))
 		}
-		began, sum, broken := time.Now(), cluster.ReleaseVerdict{}, 0
-		cluster.CampaignReleases(ctx, list, at, cluster.DrainOptions{Binary: binary, Dir: dir, Lease: 600 * time.Millisecond, Apart: apart}, func(v cluster.ReleaseVerdict) {
-			if v.Broken() {
+		began, broken := time.Now(), 0
+		sum, over := play(ctx, list, cluster.DrainOptions{Binary: binary, Dir: dir, Lease: 600 * time.Millisecond, Apart: apart}, func(v fmt.Stringer, bad bool) {
+			if bad {
 				if broken++; broken <= 5 || !apart {
-					fmt.Println(&v)
+					fmt.Println(v)
 				}
 			}
-			sum.Releases, sum.Done, sum.Back, sum.Starts, sum.Same = sum.Releases+v.Releases, sum.Done+v.Done, sum.Back+v.Back, sum.Starts+v.Starts, sum.Same+v.Same
-			sum.Asked, sum.Over, sum.Looks, sum.Requests, sum.Failed, sum.Most = sum.Asked+v.Asked, sum.Over+v.Over, sum.Looks+v.Looks, sum.Requests+v.Requests, sum.Failed+v.Failed, max(sum.Most, v.Most)
 		})
-		fmt.Printf("budgets %s: %d schedules in %v, %d at once; releases %d, done %d, back %d; drains by hand %d; starts of versions %d, %d twice\n",
-			map[bool]string{false: "kept by the quorum", true: "kept by nobody"}[apart], n, time.Since(began).Round(time.Second), at, sum.Releases, sum.Done, sum.Back, sum.Asked, sum.Starts, sum.Same)
-		fmt.Printf("  most out by plan %d (2 may be), over the budget at %d of %d looks; requests %d, failed %d; schedules broken %d\n", sum.Most, sum.Over, sum.Looks, sum.Requests, sum.Failed, broken)
+		fmt.Printf("budgets kept by %s: %d schedules in %v, %d at once; schedules broken %d\n  %s\n", map[bool]string{false: "the quorum", true: "each asker alone, or nobody"}[apart], n,
+			time.Since(began).Round(time.Second), at, broken, sum)
 		switch {
 		case ctx.Err() != nil:
 			return ctx.Err()
 		case !apart && broken > 0:
 			return fmt.Errorf("%d schedules broke something", broken)
-		case apart && sum.Over == 0:
-			return fmt.Errorf("without budgets nothing was found: the observer is blind")
+		case apart && over == 0:
+			return fmt.Errorf("without the quorum's budgets nothing was found: the observer is blind")
 		}
 	}
 	return nil
 }
 
-// drains plays seeded schedules of drains, and some with budgets that each asker keeps by itself.
+// releases plays schedules of releases.
+func releases(seeds, at int, first uint64) error {
+	return campaigns(seeds, at, first, func(ctx context.Context, list []uint64, opt cluster.DrainOptions, each func(fmt.Stringer, bool)) (string, int) {
+		sum := cluster.ReleaseVerdict{}
+		cluster.CampaignReleases(ctx, list, at, opt, func(v cluster.ReleaseVerdict) {
+			each(&v, v.Broken())
+			sum.DrainVerdict.Add(&v.DrainVerdict)
+			sum.Releases, sum.Done, sum.Back, sum.Starts, sum.Same = sum.Releases+v.Releases, sum.Done+v.Done, sum.Back+v.Back, sum.Starts+v.Starts, sum.Same+v.Same
+		})
+		return fmt.Sprintf("%s\n  releases %d, done %d, back %d; starts of versions %d, %d twice", sum.Sum(), sum.Releases, sum.Done, sum.Back, sum.Starts, sum.Same), sum.Over
+	})
+}
+
+// drains plays schedules of drains.
 func drains(seeds, at int, first uint64) error {
-	ctx, dir, binary, done, err := built()
-	defer done()
-	if err != nil {
-		return err
-	}
-	machine()
-	for _, apart := range []bool{false, true} {
-		n := min(seeds, mostSchedules)
-		if apart {
-			n = min(n, 10)
-		}
-		var list []uint64
-		for i := range n {
-			list = append(list, first+uint64(i))
-		}
-		began, sum, broken := time.Now(), cluster.DrainVerdict{}, 0
-		cluster.CampaignDrains(ctx, list, at, cluster.DrainOptions{Binary: binary, Dir: dir, Lease: 600 * time.Millisecond, Apart: apart}, func(v cluster.DrainVerdict) {
-			if v.Broken() {
-				if broken++; broken <= 5 || !apart {
-					fmt.Println(&v)
-				}
-			}
-			sum.Asked, sum.Granted, sum.Over, sum.Late, sum.Looks = sum.Asked+v.Asked, sum.Granted+v.Granted, sum.Over+v.Over, sum.Late+v.Late, sum.Looks+v.Looks
-			sum.Requests, sum.Failed, sum.Most = sum.Requests+v.Requests, sum.Failed+v.Failed, max(sum.Most, v.Most)
+	return campaigns(seeds, at, first, func(ctx context.Context, list []uint64, opt cluster.DrainOptions, each func(fmt.Stringer, bool)) (string, int) {
+		sum := cluster.DrainVerdict{}
+		cluster.CampaignDrains(ctx, list, at, opt, func(v cluster.DrainVerdict) {
+			each(&v, v.Broken())
+			sum.Add(&v)
 		})
-		fmt.Printf("budgets kept by %s: %d schedules in %v, %d at once; orders %d, granted %d\n", map[bool]string{false: "the quorum", true: "each asker alone"}[apart], n,
-			time.Since(began).Round(time.Second), at, sum.Asked, sum.Granted)
-		fmt.Printf("  most out by order %d (2 may be), over the budget at %d of %d looks; requests %d, failed %d; late to a drained endpoint %d; schedules broken %d\n",
-			sum.Most, sum.Over, sum.Looks, sum.Requests, sum.Failed, sum.Late, broken)
-		switch {
-		case ctx.Err() != nil:
-			return ctx.Err()
-		case !apart && broken > 0:
-			return fmt.Errorf("%d schedules broke something", broken)
-		case apart && sum.Over == 0:
-			return fmt.Errorf("with budgets kept apart nothing was found: the observer is blind")
-		}
-	}
-	return nil
+		return sum.Sum(), sum.Over
+	})
 }
