siteplan: what the loss of a site comes to, on paper; sites plan, lines in check

A section sites names capacities by class, expected loads, where a lost site's load may go, and floors. check and robindrum sites plan print what would be served, cross and be refused by class for each site lost and each pair, and refuse a file whose floors promise more than there is. Gateways do not act on it yet. Properties over drawn plans: nothing beyond capacity or the limit on crossing, floors kept, worth more first. The strict reader takes maps of names.

--- a/cmd/robindrum/main.go
+++ b/cmd/robindrum/main.go
@@ -27,7 +27,7 @@
 		Args: noArgs, RunE: func(c *cobra.Command, _ []string) error { return c.Help() },
 		CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true}}
 	c.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return fmt.Errorf("%w: %w", err, errUsage) })
-	c.AddCommand(serveCommand(), checkCommand(), statusCommand(), tryCommand(), labCommand(), captureCommand(), planCommand(), fleetCommand(), witnessCommand(), drainCommand(), undrainCommand(), ordersCommand(), releaseCommand(), superviseCommand(), versionCommand())
+	c.AddCommand(serveCommand(), checkCommand(), statusCommand(), tryCommand(), labCommand(), captureCommand(), planCommand(), fleetCommand(), witnessCommand(), drainCommand(), undrainCommand(), ordersCommand(), releaseCommand(), superviseCommand(), sitesCommand(), versionCommand())
 	return c
 }
 
--- a/cmd/robindrum/main_test.go
+++ b/cmd/robindrum/main_test.go
@@ -184,3 +184,26 @@
 		t.Error(log.String())
 	}
 }
+
+// The plan of two sites is printed by check and by sites plan, with another load, as JSON, and what cannot be is a plain error.
+func TestSitesPlan(t *testing.T) {
+	for _, x := range []struct {
+		args string
+		code int
+		want string
+	}{
+		{"check -c ../../deploy/sites.yaml", 0, "sapporo lost: of 1225 requests a second 645 are served, 270 of them cross, 580 are refused"},
+		{"sites plan -c ../../deploy/sites.yaml", 0, "ishikari lost: of 1225 requests a second 1225 are served"},
+		{"sites plan -c ../../deploy/sites.yaml --lost sapporo --load ishikari/seat-map=1200", 0, "of 2125 requests a second 1005 are served"},
+		{"sites plan -c ../../deploy/sites.yaml --lost sapporo --json", 0, `"lost":["sapporo"]`},
+		{"sites plan -c ../../deploy/sites.yaml --lost otaru", 2, "there is no site \"otaru\""},
+		{"sites plan -c ../../deploy/sites.yaml --load sapporo/cake=3", 2, "no capacity of class \"cake\""},
+		{"sites plan -c ../../deploy/sites.yaml --load 3", 2, "want SITE/CLASS=RATE"},
+		{"sites plan -c ../../deploy/fleet.yaml", 1, "has no section sites"},
+	} {
+		var out, errs bytes.Buffer
+		if code := run(t.Context(), strings.Fields(x.args), &out, &errs); code != x.code || !strings.Contains(out.String()+errs.String(), x.want) {
+			t.Errorf("%s: exit code %d\n%s%s", x.args, code, &out, &errs)
+		}
+	}
+}
--- a/cmd/robindrum/serve.go
+++ b/cmd/robindrum/serve.go
@@ -139,6 +139,12 @@
 				fmt.Fprintf(c.ErrOrStderr(), "%s: warning: %s\n", path, w)
 			}
 			if !show {
+				if p := f.SitePlan(); p != nil {
+					for _, lost := range append(p.Single(), p.Pairs()...) {
+						o := p.Lose(lost, nil)
+						fmt.Fprintf(c.OutOrStdout(), "%s: %s\n", path, &o)
+					}
+				}
 				fmt.Fprintf(c.OutOrStdout(), "%s: %d listeners, %d clusters, %d routes, %d classes: good\n", path, len(f.Listeners),
 					len(f.Clusters), len(f.Routes), len(f.Classes))
 				return nil
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -32,6 +32,7 @@
 	Clusters  []Cluster  `yaml:"clusters"`
 	Zones     *Zones     `yaml:"zones,omitempty"`
 	Fleet     *Fleet     `yaml:"fleet,omitempty"`
+	Sites     *Sites     `yaml:"sites,omitempty"`
 	Routes    []Route    `yaml:"routes"`
 
 	RateLimits []RateLimit `yaml:"rate_limits,omitempty"`
@@ -477,6 +478,9 @@
 	}
 	f.checkXDS(d)
 	f.checkZones(d)
+	if f.Sites != nil {
+		f.checkSites(d)
+	}
 	if f.Fleet != nil {
 		f.Fleet.check(d)
 		if f.Fleet.Subscription != nil && (f.XDS == nil || len(f.XDS.Servers) == 0) {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -362,3 +362,31 @@
 		}
 	}
 }
+
+// The section sites says in place what is wrong: names, parts, classes that there are not, and floors that nobody can keep.
+func TestSites(t *testing.T) {
+	text, err := os.ReadFile("../../deploy/sites.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f, err := Parse("sites.yaml", text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if p := f.SitePlan(); len(p.Sites) != 2 || p.Sites[0].Capacity["pay"] != 300 || p.Sites[1].To[0].Site != "sapporo" || p.Sites[1].MostCrossed != 0.4 {
+		t.Errorf("%+v", p)
+	}
+	for _, x := range [][3]string{
+		{"part: 1}", "part: 1.5}", "sites.yaml:16:35: sites.list[0].to[0].part: 1.5"},
+		{"name: ishikari", "name: sapporo", "sites.list[1].name: \"sapporo\" stands twice"},
+		{"floors: {pay: 0.9", "floors: {cake: 0.9", "sites.yaml:11:18: sites.floors.cake: there is no class"},
+		{"capacity: {seat-map: 2000", "capacity: {seat-map: many", "sites.list[0].capacity.seat-map: want a number"},
+		{"load: {seat-map: 700", "load: {pay: 1, seat-map: 700", "sites.list[0].load.pay: stands twice"},
+		{"{pay: 0.9, seat-hold: 0.3}", "{pay: 1, seat-hold: 1, seat-map: 1}", "sites.list[1]: with sapporo lost the floors promise"},
+		{"sites:\n", "fleet: {name: f, member: m, site: otaru, seeds: [\"127.0.0.1:1\"], quorum: {folder: v, voters: [{name: m, address: \"127.0.0.1:7600\"}]}}\nsites:\n", "this gateway's site \"otaru\" is not in it"},
+	} {
+		if _, err := Parse("sites.yaml", []byte(strings.Replace(string(text), x[0], x[1], 1))); err == nil || !strings.Contains(err.Error(), x[2]) {
+			t.Errorf("%s: %v, want %s", x[1], err, x[2])
+		}
+	}
+}
--- a/internal/config/decode.go
+++ b/internal/config/decode.go
@@ -174,6 +174,24 @@
 		for i, c := range n.Content {
 			d.value(c, fmt.Sprintf("%s[%d]", path, i), v.Index(i))
 		}
+	case reflect.Map: // of names that the user gives
+		if n.Kind != yaml.MappingNode {
+			d.bad(n, path, "want names with values")
+			return
+		}
+		v.Set(reflect.MakeMap(v.Type()))
+		for i := 0; i+1 < len(n.Content); i += 2 {
+			k := n.Content[i]
+			name := join(path, k.Value)
+			key := reflect.ValueOf(k.Value)
+			if v.MapIndex(key).IsValid() {
+				d.bad(k, name, "stands twice")
+				continue
+			}
+			x := reflect.New(v.Type().Elem()).Elem()
+			d.value(n.Content[i+1], name, x)
+			v.SetMapIndex(key, x)
+		}
 	default:
 		d.scalar(n, path, v)
 	}
--- a/internal/config/defaults.go
+++ b/internal/config/defaults.go
@@ -58,6 +58,9 @@
 	if z := f.Zones; z != nil {
 		z.fill()
 	}
+	if f.Sites != nil {
+		f.Sites.fill()
+	}
 	if f.Fleet != nil {
 		f.Fleet.fill()
 		f.Fleet.Quorum.Folder = f.Resolve(f.Fleet.Quorum.Folder)
