fleet: the version to run as is not taken from a leader that leads no more

Found by reading: a deposed leader's word could have a version that was given up forgiven, and tried once more. Words about versions older than the newest known are passed over, as views of orders are; releases over processes played behind it.

--- a/internal/fleet/orders.go
+++ b/internal/fleet/orders.go
@@ -134,7 +134,7 @@
 		default:
 		}
 	}
-	if t.Program != nil { // a leader's word, not a voter's
+	if t.Program != nil && t.Version >= o.version { // a leader's word, not a voter's, and not of one that leads no more
 		o.follow(*t.Program)
 		o.under = t.Under
 	}
