cluster: the observer of releases is proved by one without budgets, not by three seeds

On two processors the three seeded schedules without budgets did not take more out than may be, as a schedule's steps fall elsewhere there. A release without budgets takes the last wave of three out at once, on every machine.

--- a/internal/standin/cluster/releases/releases_test.go
+++ b/internal/standin/cluster/releases/releases_test.go
@@ -497,10 +497,26 @@
 			t.Error(&v)
 		}
 	})
-	opt.Apart = true
-	over := 0
-	cluster.CampaignReleases(t.Context(), []uint64{101, 102, 103}, at, opt, func(v cluster.ReleaseVerdict) { over += v.Over })
-	if over == 0 {
-		t.Error("without budgets nothing was found: the observer is blind")
+	// The observer can find it: with no budget to speak of, the last wave of five takes three out at once.
+	bin := binary(t)
+	s, err := cluster.NewSite(t.Context(), cluster.SiteOptions{Binary: bin, Dir: t.TempDir(), Gateways: 5, Lease: testLease, Budgets: "[{name: g, most: 99}]",
+		Version: "v1", Versions: map[string]string{"v1": bin, "v2": bin}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	load := s.Load(20)
+	defer load.Stop()
+	var v cluster.DrainVerdict
+	stop := s.Watch(&v, 2)
+	state := func() (l quorum.Releases) { _ = s.Nodes[0].Get("/fleet/releases", &l); return l }
+	comes(t, "the gateways to be known", func() bool { return len(state().Gateways) == 5 })
+	plan := &release.Plan{ID: "r", To: "v2", Program: true, Soak: 200 * time.Millisecond, Grace: 5 * time.Second, Notice: time.Second,
+		Gate: release.Gate{Requests: 5, Slower: 50, Tail: 50, Memory: 10, InTime: 0.9}}
+	comes(t, "it to begin", func() bool { return s.Nodes[1].Release(quorum.Command{Op: quorum.ReleaseBegin, Plan: plan}) == nil })
+	comes(t, "it to be done", func() bool { l := state(); return len(l.Ended) > 0 && l.Ended[0].State == release.Done })
+	stop()
+	if v.Over == 0 || v.Most < 3 {
+		t.Errorf("without budgets nothing was found: the observer is blind: %s", &v)
 	}
 }
