order, release: a sent keyed request is not offered anew; a budget of none ends a release

Found by reading. At the end of a grace a keyed request that had been sent got 503 with Retry-After, though the gateway that is asked next may send it out of its group: 504 now. Where a budget allows none, Pace asked with each round and the release waited without a reason; it fails with it. A test for each.

--- a/internal/order/order.go
+++ b/internal/order/order.go
@@ -757,10 +757,11 @@
 	return l
 }
 
-// Last says how a request that is in hand when a gateway's grace is over is answered there: what can have had no effect, or has the
-// same one when it is asked for again, may be asked for again; of all else nobody knows.
+// Last says how a request that is in hand when a gateway's grace is over is answered there: what can have had no effect may be asked
+// for again; of all else nobody knows. Danger: a keyed one has one effect within its group alone, and another gateway may send it out
+// of that.
 func Last(effect string, sent bool) (status int, again bool) {
-	if !sent || effect == "safe" || effect == "keyed" {
+	if !sent || effect == "safe" {
 		return 503, true
 	}
 	return 504, false
--- a/internal/order/order_test.go
+++ b/internal/order/order_test.go
@@ -313,3 +313,16 @@
 		_ = b.Standings()
 	})
 }
+
+// At the end of a grace only what can have had no effect is offered to be asked for again.
+func TestLast(t *testing.T) {
+	for _, x := range []struct {
+		effect string
+		sent   bool
+		want   int
+	}{{"safe", true, 503}, {"keyed", true, 504}, {"unsafe", true, 504}, {"", true, 504}, {"keyed", false, 503}, {"unsafe", false, 503}} {
+		if status, again := Last(x.effect, x.sent); status != x.want || again != (x.want == 503) {
+			t.Errorf("%q, sent %v: %d, %v", x.effect, x.sent, status, again)
+		}
+	}
+}
--- a/internal/release/pace.go
+++ b/internal/release/pace.go
@@ -13,6 +13,9 @@
 // restarts begins the ids of the orders that Pace asks for.
 const restarts = "program/"
 
+// refusedFor is how long an order that was refused is not asked for again.
+const refusedFor = time.Minute
+
 // Pace has orders follow what versions gateways are to run as: each that is to start anew is drained for it, within the budgets that
 // all drains keep, once it has been told and does not refuse, on the way forward and on the way back, and its slot is held until it has been seen in service again. Halted, what
 // has not left yet stays: it comes back first.
@@ -23,6 +26,12 @@
 			open[name[strings.IndexByte(name, '/')+1:]] = o
 		}
 	}
+	refused := map[string]string{} // by gateway, of late: why
+	for id, o := range orders.Orders {
+		if strings.HasPrefix(id, restarts) && o.State == order.Refused && o.Restart == b.WantProgram(o.Target.Gateway) && now-o.Since < refusedFor {
+			refused[o.Target.Gateway] = o.Why
+		}
+	}
 	r := b.Current
 	halted := r != nil && r.Plan.Program && r.State == Halted
 	var plan Plan
@@ -43,9 +52,13 @@
 		switch {
 		case o != nil && (halted || g.Here && (!moves || o.Restart != want)):
 			_, _ = orders.Cancel(now, o.ID) // it is there: it was found there
+		case o == nil && moves && g.Here && refused[name] != "": // what no budget allows is not asked for with each round
+			if r != nil && r.State == Running {
+				b.fail(name + " cannot be taken out: " + refused[name])
+				return
+			}
 		case o == nil && moves && g.Here:
 			b.Restarts++
-			// Not granted, it is asked for again with the next round.
 			_, _ = orders.Ask(now, order.Order{ID: fmt.Sprintf("%s%d/%s", restarts, b.Restarts, name), Target: order.Target{Gateway: name}, Owner: "release " + plan.ID,
 				Reason: "to start as " + want, Grace: plan.Grace, Notice: plan.Notice, Restart: want})
 		}
--- a/internal/release/pace_test.go
+++ b/internal/release/pace_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -363,3 +364,20 @@
 	}
 	t.Log(states, "steps")
 }
+
+// A budget that allows none ends the release with its reason, and is not asked again with each round.
+func TestBudgetThatAllowsNone(t *testing.T) {
+	p := newPrograms(1, 1)
+	if err := p.orders.Limit(p.now, []order.Budget{{Name: "g", Scope: order.Scope{Gateways: true}, Part: 0.3}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := p.b.Begin(p.now, Plan{ID: "r", To: "v2", Program: true, Soak: time.Second, Back: true}); err != nil {
+		t.Fatal(err)
+	}
+	for range 20 {
+		p.step()
+	}
+	if p.b.Current != nil || p.b.Ended[0].State != Gone || !strings.Contains(p.b.Ended[0].Why, "allows none of 1") || len(p.orders.Orders) != 1 {
+		t.Errorf("%v %+v, %d orders", p.b.Current, p.b.Ended, len(p.orders.Orders))
+	}
+}
