node, backend: what a request has not written by its end is written nowhere

Seen: an attempt whose connection comes up late writes its request although the client has left, another copy has answered or the time is over, wherever the settings allow no cancel (the module calls nothing off there).

Ruled out: held by the module, between attempts and a body still coming (Gone drops the request, a read that fails is answered); waiting for a descriptor (Take does not wait). A copy granted behind the answer makes no attempt (core.go, Send).

At fault: Attempt.connect asked for a cancel and a closed upstream only. Now the core withdraws the attempts of a request in the step that ends it: the dial ends, nothing more is written, and one that has not written its last byte ends as not sent, since a backend begins no request before. One that has written it goes on, as no cancel is allowed.

A cancel or a withdrawal at any step leaves nothing on the connection for the next attempt (TestCancelAtEachStep). fakes.Peer no longer waits for good for a connection accepted as it was closed.

--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -74,6 +74,8 @@
 	conn      *conn
 	stop      context.CancelFunc // ends the dial
 	cancelled bool
+	withdrawn bool // what has not been written of the request is not to be
+	written   bool // its last byte has been
 }
 
 // NewAttempt prepares an attempt that is given up at deadline.
@@ -96,15 +98,36 @@
 	}
 }
 
-// take makes c the connection that Cancel interrupts; false if it has come already.
+// Withdraw has an attempt whose request is over write no more of it, whether or not it may be cancelled: a backend begins
+// no request before its last byte has come. An attempt that has written that byte goes on; another one ends as not sent.
+// It neither blocks nor waits.
+func (a *Attempt) Withdraw() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.written {
+		return
+	}
+	a.withdrawn = true
+	if a.stop != nil {
+		a.stop()
+	}
+	if a.conn != nil {
+		a.conn.SetWriteDeadline(longAgo)
+	}
+}
+
+// void tells, under the lock, whether the attempt is to go no further.
+func (a *Attempt) void() bool { return a.cancelled || a.withdrawn && !a.written }
+
+// take makes c the connection that Cancel and Withdraw interrupt; false if one of them has come already.
 func (a *Attempt) take(c *conn) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.conn = c
-	return !a.cancelled
+	return !a.void()
 }
 
-// letGo ends Cancel's hold on the connection; false if it has come already.
+// letGo ends that hold on the connection; false if it was used.
 func (a *Attempt) letGo() bool { return a.take(nil) }
 
 func (a *Attempt) isCancelled() bool {
@@ -113,10 +136,16 @@
 	return a.cancelled
 }
 
+func (a *Attempt) isVoid() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.void()
+}
+
 func (a *Attempt) extend(c *conn, to time.Time) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return !a.cancelled && c.SetDeadline(to) == nil
+	return !a.void() && c.SetDeadline(to) == nil
 }
 
 func (a *Attempt) within(c *conn, d time.Duration) bool {
@@ -132,6 +161,8 @@
 		switch {
 		case a.isCancelled():
 			return Reply{Result: logic.Cancelled}
+		case a.isVoid():
+			return Reply{Result: logic.NotSent}
 		case errors.As(err, &timeout) && timeout.Timeout() && !time.Now().Before(a.deadline):
 			// It was the client's time that ran out: that says nothing against the backend.
 			return Reply{Result: logic.TimedOut}
@@ -151,7 +182,7 @@
 }
 
 func (a *Attempt) connect() (*conn, error) {
-	if a.isCancelled() {
+	if a.isVoid() {
 		return nil, context.Canceled
 	}
 	c := a.up.reuse(a.deadline)
@@ -161,7 +192,7 @@
 		a.mu.Lock()
 		a.stop = stop
 		a.mu.Unlock()
-		if a.isCancelled() {
+		if a.isVoid() {
 			return nil, context.Canceled
 		}
 		var err error
@@ -222,6 +253,9 @@
 			return err
 		}
 	}
+	a.mu.Lock()
+	a.written = true
+	a.mu.Unlock()
 	return nil
 }
 
@@ -363,6 +397,8 @@
 	switch {
 	case a.isCancelled():
 		return logic.Cancelled
+	case wrote != nil && a.isVoid():
+		return logic.NotSent
 	case !time.Now().Before(a.deadline) && errors.Is(read, os.ErrDeadlineExceeded):
 		return logic.TimedOut
 	case wrote != nil:
--- a/internal/fakes/backlog.go
+++ b/internal/fakes/backlog.go
@@ -2,14 +2,16 @@
 
 import (
 	"net"
+	"os"
 	"strconv"
 	"syscall"
 	"testing"
 	"time"
 )
 
-// fullBacklog listens with room for nobody and fills what room there is all the same.
-func fullBacklog(t testing.TB) string {
+// fullListener listens with room for nobody and fills what room there is all the same. What it gives turns it into a
+// listener that accepts.
+func fullListener(t testing.TB) (addr string, open func() net.Listener) {
 	t.Helper()
 	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
 	if err != nil {
@@ -26,14 +28,26 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	addr := net.JoinHostPort("127.0.0.1", strconv.Itoa(name.(*syscall.SockaddrInet4).Port))
+	addr = net.JoinHostPort("127.0.0.1", strconv.Itoa(name.(*syscall.SockaddrInet4).Port))
 	for range 8 {
 		c, err := net.DialTimeout("tcp", addr, 200*time.Millisecond)
 		if err != nil {
-			return addr
+			return addr, func() net.Listener {
+				dup, err := syscall.Dup(fd)
+				if err != nil {
+					t.Fatal(err)
+				}
+				f := os.NewFile(uintptr(dup), "backlog")
+				defer f.Close()
+				l, err := net.FileListener(f)
+				if err != nil {
+					t.Fatal(err)
+				}
+				return l
+			}
 		}
 		t.Cleanup(func() { c.Close() })
 	}
 	t.Skip("this machine's backlogs do not fill")
-	return ""
+	return "", nil
 }
--- a/internal/fakes/fakes.go
+++ b/internal/fakes/fakes.go
@@ -22,9 +22,10 @@
 	Addr string
 	l    net.Listener
 
-	mu    sync.Mutex
-	conns []net.Conn
-	all   sync.WaitGroup
+	mu     sync.Mutex
+	conns  []net.Conn
+	closed bool
+	all    sync.WaitGroup
 }
 
 // NewPeer runs script for each connection, numbered from 0, and closes the connection when it returns.
@@ -35,25 +36,30 @@
 		t.Fatal(err)
 	}
 	p := &Peer{Addr: l.Addr().String(), l: l}
-	p.all.Go(func() {
-		for n := 0; ; n++ {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			p.mu.Lock()
-			p.conns = append(p.conns, c)
-			p.mu.Unlock()
-			p.all.Go(func() {
-				defer c.Close()
-				script(c, n)
-			})
-		}
-	})
+	p.all.Go(func() { p.accept(script) })
 	t.Cleanup(p.Close)
 	return p
 }
 
+func (p *Peer) accept(script func(c net.Conn, n int)) {
+	for n := 0; ; n++ {
+		c, err := p.l.Accept()
+		if err != nil {
+			return
+		}
+		p.mu.Lock()
+		if p.closed { // accepted as Close came
+			c.Close()
+		}
+		p.conns = append(p.conns, c)
+		p.mu.Unlock()
+		p.all.Go(func() {
+			defer c.Close()
+			script(c, n)
+		})
+	}
+}
+
 // Conns is how many connections came.
 func (p *Peer) Conns() int {
 	p.mu.Lock()
@@ -65,6 +71,7 @@
 func (p *Peer) Close() {
 	p.l.Close()
 	p.mu.Lock()
+	p.closed = true
 	for _, c := range p.conns {
 		c.Close()
 	}
@@ -128,7 +135,34 @@
 // Full is an address at which connections never come up: its backlog is full.
 func Full(t testing.TB) string {
 	t.Helper()
-	return fullBacklog(t)
+	addr, _ := fullListener(t)
+	return addr
+}
+
+// Late is an address at which connections come up only once it is opened.
+type Late struct {
+	*Peer
+	open func()
+}
+
+// NewLate is NewPeer for connections that do not come up before Open.
+func NewLate(t testing.TB, script func(c net.Conn, n int)) *Late {
+	t.Helper()
+	addr, listener := fullListener(t)
+	l := &Late{Peer: &Peer{Addr: addr}}
+	l.open = func() { l.l = listener(); l.all.Go(func() { l.accept(script) }) }
+	t.Cleanup(l.Close)
+	return l
+}
+
+// Open lets connections come up, those on their way too: as the kernel tries again, within some seconds.
+func (l *Late) Open() { l.open() }
+
+// Close ends the peer and all its connections.
+func (l *Late) Close() {
+	if l.l != nil {
+		l.Peer.Close()
+	}
 }
 
 // Refusing is an address at which nothing listens.
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -446,6 +446,7 @@
 		if ok = !r.answered; ok {
 			r.answered, r.stream = true, r.attempts[i]
 			n.close()
+			r.withdraw()
 			n.bal.Started(now, r.id, i)
 		}
 	})
@@ -464,6 +465,16 @@
 	}
 }
 
+// withdraw has what is not yet written of a request that is over written nowhere. Danger: the module may not call off an
+// attempt everywhere, and one whose connection comes up late would send the request long after its answer.
+func (q *Request) withdraw() {
+	for _, a := range q.attempts {
+		if a != nil && a != q.stream {
+			a.Withdraw()
+		}
+	}
+}
+
 // close counts a request as answered.
 func (n *Core) close() {
 	n.open--
@@ -478,6 +489,7 @@
 	}
 	r.answered, r.answer = true, a
 	n.close()
+	r.withdraw()
 	n.settled = append(n.settled, r)
 	return true
 }
--- /dev/null
+++ b/internal/node/over_test.go
@@ -0,0 +1,150 @@
+package node
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"arrowhitch/internal/backend"
+	"arrowhitch/internal/fakes"
+	"arrowhitch/logic"
+)
+
+// wholes sends to came each request that came whole, and answers it.
+func wholes(came chan<- string) func(c net.Conn, n int) {
+	return func(c net.Conn, _ int) {
+		b := make([]byte, 4<<10)
+		for text := ""; ; {
+			n, err := c.Read(b)
+			if err != nil {
+				return
+			}
+			if text += string(b[:n]); strings.Contains(text, "\r\n\r\n") {
+				came <- text
+				io.WriteString(c, ok)
+				text = ""
+			}
+		}
+	}
+}
+
+// A request is over while the connection for its attempt still comes up, and the settings allow no cancel: what has not
+// been written is written nowhere.
+func TestOverWhileDialing(t *testing.T) {
+	for _, name := range []string{"client gone", "expired", "answered by a copy"} {
+		t.Run(name, func(t *testing.T) {
+			fakes.Leaks(t)
+			late, came := make(chan string, 9), make(chan string, 9)
+			l := fakes.NewLate(t, wholes(late))
+			b := fakes.NewPeer(t, wholes(came))
+			w := start(t, func(o *Options) { o.Settings.MayCancel, o.Settings.ParallelTries = false, true }, l.Addr)
+			c := w.dial(t)
+			class := "get"
+			if name == "expired" {
+				class = "brief"
+			}
+			c.send(head("GET", class, "X-Trace-Id: q"))
+			var q *request
+			fakes.Eventually(t, "the attempt", func() bool {
+				w.mu.Lock()
+				defer w.mu.Unlock()
+				q = w.requests["q"]
+				return q != nil && len(q.attempts) == 1
+			})
+			switch name {
+			case "client gone":
+				c.Close()
+			case "answered by a copy":
+				w.list(l.Addr, b.Addr)
+				w.mu.Lock()
+				(*host)(w.Core).Send("q", "s1", 0)
+				w.mu.Unlock()
+			}
+			fakes.Within(t, "the request's end", q.Done())
+			l.Open()
+			// The dial ends, or the connection comes up after all: either way nothing may be written on it.
+			fakes.Eventually(t, "all to be over", func() bool { return w.held() == 0 })
+			if len(late) != 0 {
+				t.Errorf("sent after its end: %q", <-late)
+			}
+		})
+	}
+}
+
+// Another answer has come, and with it the request's end, in the moment in which a copy is granted: nothing goes out.
+func TestCopyInTheMomentOfTheAnswer(t *testing.T) {
+	fakes.Leaks(t)
+	came, goOn := make(chan string, 9), make(chan struct{})
+	b := fakes.NewPeer(t, func(c net.Conn, n int) {
+		if n > 0 {
+			wholes(came)(c, n)
+			return
+		}
+		buf := make([]byte, 4<<10)
+		k, _ := c.Read(buf)
+		came <- string(buf[:k])
+		<-goOn
+		io.WriteString(c, ok)
+		io.Copy(io.Discard, c)
+	})
+	w := start(t, func(o *Options) { o.Settings.MayCancel, o.Settings.ParallelTries = false, true }, b.Addr, b.Addr)
+	c := w.dial(t)
+	c.send(head("GET", "get", "X-Trace-Id: q"))
+	fakes.Within(t, "the request", came)
+	w.mu.Lock()
+	q := w.requests["q"]
+	(*host)(w.Core).Send("q", "s1", 0) // the copy's goroutine has not begun, or stands in its dial
+	w.settle(q, Answer{Status: http.StatusBadGateway})
+	(*host)(w.Core).Send("q", "s0", 0) // and one granted behind the answer
+	if q.attempts[2] != nil {
+		t.Error("an attempt was made for a request that is over")
+	}
+	w.mu.Unlock()
+	w.do(func(time.Duration) {}) // tells the client
+	if code, _, _ := c.answer(t); code != http.StatusBadGateway {
+		t.Errorf("%d", code)
+	}
+	close(goOn)
+	fakes.Eventually(t, "all to be over", func() bool { return w.held() == 0 })
+	if len(came) != 0 {
+		t.Errorf("sent after the answer: %q", <-came)
+	}
+}
+
+// What one attempt leaves on a connection does not reach the next one: a cancel at each step of the exchange.
+func TestCancelAtEachStep(t *testing.T) {
+	fakes.Leaks(t)
+	budget := backend.NewBudget(8)
+	p := backend.NewPool(backend.Options{ConnectTimeout: fakes.Patience, IdleTimeout: time.Hour}, budget)
+	defer p.Close()
+	b := fakes.NewBackend(t, func(fakes.Seen, int) string { return ok })
+	up := p.Upstream(b.Addr, 0)
+	nobody := func(int, http.Header, int64) io.Writer { return nil }
+	for i := range 400 {
+		a := backend.NewAttempt(up, &backend.Request{Method: "GET", URI: "/x", Host: "x", Header: http.Header{}}, time.Now().Add(fakes.Patience))
+		cancelled := make(chan struct{})
+		go func() {
+			time.Sleep(time.Duration(i%100) * 2 * time.Microsecond)
+			if i%2 == 0 {
+				a.Cancel()
+			} else {
+				a.Withdraw()
+			}
+			close(cancelled)
+		}()
+		r := a.Do(nobody)
+		if r.Result != logic.Served && r.Result != logic.Cancelled && r.Result != logic.NotSent {
+			t.Fatalf("result %d", r.Result)
+		}
+		<-cancelled
+		if r := backend.NewAttempt(up, &backend.Request{Method: "GET", URI: "/x", Host: "x", Header: http.Header{}}, time.Now().Add(fakes.Patience)).Do(nobody); r.Result != logic.Served {
+			t.Fatalf("the next one: %d", r.Result)
+		}
+		if n := budget.Used(); n > 1 {
+			t.Fatalf("%d descriptors held", n)
+		}
+	}
+}
