discovery: no list that was overtaken, or is of an old address, is followed; silence is 3.5 s

Forced over loopback by a scripted registry, each with its change taken out again: - A whole list asked for before a change and read after it undid the change, a drain say (TestListOvertakenByAChange, ...ByAList). take refused older changes only. An older whole list is now refused where something newer was delivered since it was asked for; one that is older than what was known as it was asked for means that the versions began anew, and counts. - A list asked for at the old address and read after Move passed for the new one's and left its version for the next watch ("called ...&after=8", TestListOfTheOldAddress): Fetch was bound to the client's life. Calls are bound to the address now. - Move changed the address and forgot the version in two steps; they are one now. The watch in between was not met in 400 moves, with or without the change: by reading alone. - Any byte was a sign of life, so half a line kept a dead watch for good (TestTrickle).

With 5 s of silence, a call that waits in a queue of up to 2 s, is turned away once and asked again, it did not hold: 5 + 2 + 0.3 + 2. With 3.5 s it does. Where lists are pushed the agent answers at once, and what it has counts without a watch: calls are given 0.4 s and are at most 0.45 s apart (before: 5 s and 3 s), within the second that sends may go on.

--- /dev/null
+++ b/internal/discovery/crossings_test.go
@@ -0,0 +1,231 @@
+package discovery
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"arrowhitch/internal/fakes"
+	"arrowhitch/logic"
+)
+
+func (c call) whole(text string) {
+	fmt.Fprintf(c.conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+}
+
+// A whole list that was asked for before a change and is read behind it does not undo the change.
+func TestListOvertakenByAChange(t *testing.T) {
+	fakes.Leaks(t)
+	w := start(t, false, line(7, true, entry("s1", "SERVING")), nil)
+	w.Watch(true)
+	watch := fakes.Within(t, "a call", w.calls)
+	watch.begin()
+	w.Fetch()
+	fetch := fakes.Within(t, "a call", w.calls)
+	watch.chunk(line(9, false, entry("s1", "DRAINING")) + "\n")
+	w.expect(t, logic.FleetChanges, "s1")
+	fetch.whole(line(8, true, entry("s1", "SERVING")))
+	w.expect(t, logic.FleetRefused)
+	watch.chunk(line(10, false) + "\n") // the watch goes on
+	w.expect(t, logic.FleetChanges)
+}
+
+// Two whole lists are asked for, and the one that was made first is read last.
+func TestListOvertakenByAList(t *testing.T) {
+	fakes.Leaks(t)
+	w := start(t, false, "", nil)
+	w.Fetch()
+	first := fakes.Within(t, "a call", w.calls)
+	w.Fetch()
+	fakes.Within(t, "a call", w.calls).whole(line(9, true, entry("s1", "DRAINING")))
+	w.expect(t, logic.FleetAll, "s1")
+	first.whole(line(8, true, entry("s1", "SERVING")))
+	w.expect(t, logic.FleetRefused)
+}
+
+// A service that has lost its versions begins anew: what it tells then is the list.
+func TestVersionsBeginAnew(t *testing.T) {
+	fakes.Leaks(t)
+	for _, pushed := range []bool{false, true} {
+		w := start(t, pushed, line(70, true, entry("s1", "SERVING")), nil)
+		w.Watch(true)
+		c := fakes.Within(t, "a call", w.calls)
+		c.begin()
+		c.chunk(line(2, true, entry("s2", "SERVING")) + "\n")
+		w.expect(t, logic.FleetAll, "s2")
+		c.chunk(line(1, true, entry("s3", "SERVING")) + "\n") // and once more, on the same watch
+		w.expect(t, logic.FleetAll, "s3")
+	}
+}
+
+// A list that was asked for at the address before the move comes behind it: it tells nothing, not even that a call failed,
+// and leaves no version for the next watch.
+func TestListOfTheOldAddress(t *testing.T) {
+	fakes.Leaks(t)
+	old := start(t, false, line(7, true, entry("s1", "SERVING")), nil)
+	next := start(t, false, "", nil) // lends its listener
+	old.Fetch()
+	fetch := fakes.Within(t, "a call", old.calls)
+	old.Move(next.addr)
+	c := fakes.Within(t, "a call at the new address", next.calls)
+	if c.uri != "/registry/instances?watch=1" {
+		t.Errorf("called %s", c.uri)
+	}
+	fetch.whole(line(8, true, entry("late", "SERVING")))
+	io.Copy(io.Discard, fetch.conn) // it has been read, or never will be
+	c.begin()
+	c.chunk(line(3, true, entry("s3", "SERVING")) + "\n")
+	old.expect(t, logic.FleetAll, "s3")
+	c.conn.Close()
+	old.expect(t, logic.FleetRefused)
+	old.Watch(true)
+	if c := fakes.Within(t, "a call", next.calls); c.uri != "/registry/instances?watch=1&after=3" {
+		t.Errorf("called %s", c.uri)
+	}
+}
+
+// A pushed list moves to and fro while watches end and begin: none asks at one address for what changed since a version of
+// the other's. A search, not a proof: the crossing cannot be held from outside, and was not met with the change taken out.
+func TestWatchBeginsAsTheListMoves(t *testing.T) {
+	fakes.Leaks(t)
+	var w [2]*world
+	for i := range w {
+		w[i] = start(t, true, "", func(c *Client) { c.retryFirst = time.Microsecond })
+		fakes.Within(t, "a call", w[i].calls).conn.Close() // its own client; w[1] lends its listener from now on
+	}
+	w[1].Stop()
+	for len(w[1].calls) > 0 {
+		<-w[1].calls
+	}
+	rev := [2]int{1000, 2000}
+	for i := range 400 {
+		at := i % 2
+		c := fakes.Within(t, "a call", w[at].calls)
+		if strings.Contains(c.uri, fmt.Sprint("after=", 2-at)) {
+			t.Fatalf("round %d: %s was called with the other one's version", i, c.uri)
+		}
+		c.begin()
+		rev[at]++
+		c.chunk(line(rev[at], true, entry("s1", "SERVING")) + "\n")
+		w[0].next(t)
+		c.conn.Close() // as the list moves
+		w[0].Move(w[1-at].addr)
+		for len(w[at].calls) > 0 {
+			<-w[at].calls
+		}
+	}
+}
+
+// Bytes that make no line are no sign of life, nor are empty lines in the middle of a list.
+func TestTrickle(t *testing.T) {
+	fakes.Leaks(t)
+	for name, text := range map[string]string{"half a line": "x", "lines in half a list": "\n"} {
+		w := start(t, false, "", func(c *Client) { c.silence = 100 * time.Millisecond })
+		w.Watch(true)
+		c := fakes.Within(t, "a call", w.calls)
+		c.begin()
+		c.chunk(`{"rev":1,`)
+		go func() {
+			for {
+				if _, err := fmt.Fprintf(c.conn, "%x\r\n%s\r\n", len(text), text); err != nil {
+					return
+				}
+				time.Sleep(5 * time.Millisecond)
+			}
+		}()
+		if w.expect(t, logic.FleetRefused); t.Failed() {
+			t.Fatal(name)
+		}
+	}
+}
+
+// A watch that is answered and says nothing from its first line on, or stops within a line, is given up.
+func TestQuietFromTheFirstLine(t *testing.T) {
+	fakes.Leaks(t)
+	w := start(t, false, "", func(c *Client) { c.silence = 50 * time.Millisecond })
+	for _, text := range []string{"", `{"rev":1,"all":true,"tar`, "{\n"} {
+		w.Watch(true)
+		c := fakes.Within(t, "a call", w.calls)
+		c.begin()
+		if text != "" {
+			c.chunk(text)
+		}
+		w.expect(t, logic.FleetRefused)
+	}
+}
+
+// A list may come indented, over several lines, in a watch and in answer to a single call.
+func TestIndentedList(t *testing.T) {
+	fakes.Leaks(t)
+	indented := func(rev int, id, state string) string {
+		var b bytes.Buffer
+		if err := json.Indent(&b, []byte(line(rev, true, entry(id, state))), "", "  "); err != nil {
+			t.Fatal(err)
+		}
+		return b.String()
+	}
+	w := start(t, false, "", nil)
+	w.Watch(true)
+	c := fakes.Within(t, "a call", w.calls)
+	c.begin()
+	for i := range 3 {
+		text := indented(i+1, fmt.Sprintf(`s{%d}"\`, i), "SERVING") + "\n" // with what looks like the end of it in a name
+		c.chunk("\n" + text[:30])
+		c.chunk(text[30:] + "\n")
+		w.expect(t, logic.FleetAll, fmt.Sprintf(`s{%d}"\`, i))
+	}
+	w.Fetch()
+	fakes.Within(t, "a call", w.calls).whole(indented(9, "s9", "SERVING"))
+	w.expect(t, logic.FleetAll, "s9")
+}
+
+// However often a pushed list's calls hang, are refused or end, it is asked for again, and between two calls there is less
+// time than sends to a draining server may go on.
+func TestPushedIsAskedForAgain(t *testing.T) {
+	fakes.Leaks(t)
+	w := start(t, true, line(7, true), func(c *Client) { c.firstTime, c.retryFirst = 20*time.Millisecond, time.Millisecond })
+	for i := range 12 {
+		c := fakes.Within(t, "a call", w.calls)
+		switch i % 3 {
+		case 0: // hangs
+		case 1:
+			fakes.Reset(c.conn)
+		case 2:
+			io.WriteString(c.conn, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+		}
+	}
+	c := fakes.Within(t, "a call", w.calls)
+	c.begin()
+	c.chunk(line(8, false, entry("s1", "DRAINING")) + "\n")
+	w.expect(t, logic.FleetChanges, "s1")
+	if most := agentTime + retryMost/2 + retryMost; most >= time.Second {
+		t.Errorf("%v between two calls", most)
+	}
+}
+
+// A call of a service with a queue that was not answered in time is given longer the next time, and no other one is.
+func TestSlowServiceIsGivenLonger(t *testing.T) {
+	fakes.Leaks(t)
+	w := start(t, false, "", func(c *Client) { c.firstTime = 50 * time.Millisecond })
+	for _, slow := range []bool{false, true} {
+		w.Watch(true)
+		c := fakes.Within(t, "a call", w.calls)
+		if w.slow.Load() != slow {
+			t.Errorf("slow: %v", !slow)
+		}
+		if slow {
+			c.begin()
+			c.chunk(line(1, true) + "\n")
+			w.expect(t, logic.FleetAll)
+			if w.slow.Load() {
+				t.Error("slow for good")
+			}
+			break
+		}
+		w.expect(t, logic.FleetRefused)
+	}
+}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -15,6 +15,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"arrowhitch/logic"
@@ -23,7 +24,15 @@
 const (
 	longestLine = 8 << 20
 	dialTime    = time.Second
-	retryMost   = 2 * time.Second
+
+	// Between two lines of a watch there is an empty one every 2 s, and what a silent one misses counts as told 6 s after
+	// its last. Half as much again as a line's time, and there is room to ask anew and to be turned away once.
+	silence = 3500 * time.Millisecond
+	// An agent on the node's own machine answers at once, and what it has counts as told whether or not it was asked:
+	// nothing between two calls may take as long as sends to a draining server may go on, a second.
+	agentTime  = 400 * time.Millisecond
+	retryFirst = 100 * time.Millisecond
+	retryMost  = 300 * time.Millisecond
 )
 
 // Update is one piece of news.
@@ -97,25 +106,33 @@
 	end     context.CancelFunc
 	all     sync.WaitGroup
 
-	callTime   time.Duration // until the first line of a watch, or all of a list
+	callTime   time.Duration // for all of a list
+	firstTime  time.Duration // until a watch is answered
 	silence    time.Duration // longer than this between two lines, and a watch is dead
 	retryFirst time.Duration // before a pushed list is watched again; longer each time
-
-	mu    sync.Mutex
-	base  string
-	close context.CancelFunc // ends the watch that is on
-	moved chan struct{}      // a pushed list is to be watched elsewhere
+	slow       atomic.Bool   // the last watch was not answered in time: the next one is given twice as long
 
 	order sync.Mutex // updates leave one after the other, also those of calls side by side
 	rev   uint64
 	has   bool
+
+	mu    sync.Mutex // taken behind order
+	base  string
+	here  context.Context // ends with the address
+	leave context.CancelFunc
+	close context.CancelFunc // ends the watch that is on
+	moved chan struct{}      // a pushed list is to be watched elsewhere
 }
 
 // New makes a client; known is the list that the node had, delivered as remembered when Start is called.
 func New(addr string, pushed bool, deliver func(Update)) *Client {
 	c := &Client{base: base(addr), moved: make(chan struct{}, 1), pushed: pushed, deliver: deliver,
-		callTime: 5 * time.Second, silence: 5 * time.Second, retryFirst: 100 * time.Millisecond}
+		callTime: 5 * time.Second, firstTime: silence, silence: silence, retryFirst: retryFirst}
+	if pushed {
+		c.firstTime = agentTime
+	}
 	c.life, c.end = context.WithCancel(context.Background())
+	c.here, c.leave = context.WithCancel(c.life)
 	// No connection is used twice: a call on one that has just died would be sent again unasked.
 	c.http = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true,
 		DialContext:            (&net.Dialer{Timeout: dialTime, KeepAlive: -1}).DialContext,
@@ -127,17 +144,19 @@
 
 // Move asks at another address from now on. The list that was told stays; the whole of it is asked for anew, as
 // nothing says that the versions go on there.
+//
+// Danger: address and version change in one step, and calls at the old one end with it. Else a watch would ask the new
+// one for what changed since a version of the old one's, or a late list of the old one's would pass for the new one's.
 func (c *Client) Move(addr string) {
+	c.order.Lock()
 	c.mu.Lock()
-	c.base = base(addr)
-	if c.close != nil {
-		c.close()
-		c.close = nil
-	}
+	c.base, c.has = base(addr), false
+	c.leave()
+	c.here, c.leave = context.WithCancel(c.life)
+	c.close = nil
 	c.mu.Unlock()
-	c.order.Lock()
-	c.has = false
 	c.order.Unlock()
+	c.slow.Store(false)
 	if c.pushed {
 		select {
 		case c.moved <- struct{}{}:
@@ -176,14 +195,12 @@
 func (c *Client) follow() {
 	wait := c.retryFirst
 	for c.life.Err() == nil {
-		ctx, cancel := context.WithCancel(c.life)
 		c.mu.Lock()
-		c.close = cancel
+		here := c.here
 		c.mu.Unlock()
-		if c.watch(ctx) {
+		if c.watch(here) {
 			wait = c.retryFirst
 		}
-		cancel()
 		select {
 		case <-c.life.Done():
 		case <-c.moved:
@@ -209,7 +226,7 @@
 	if !on || c.life.Err() != nil {
 		return
 	}
-	ctx, cancel := context.WithCancel(c.life)
+	ctx, cancel := context.WithCancel(c.here)
 	c.close = cancel
 	c.all.Go(func() {
 		defer cancel()
@@ -223,11 +240,14 @@
 	if c.life.Err() != nil {
 		return
 	}
+	c.mu.Lock()
+	here := c.here
+	c.mu.Unlock()
 	c.all.Go(func() {
-		ctx, cancel := context.WithTimeout(c.life, c.callTime)
+		ctx, cancel := context.WithTimeout(here, c.callTime)
 		defer cancel()
 		if c.fetch(ctx) != nil {
-			c.refused(c.life)
+			c.refused(here)
 		}
 	})
 }
@@ -241,10 +261,31 @@
 	}
 }
 
-func (c *Client) get(ctx context.Context, query string) (*http.Response, error) {
+// ask begins a call, of a watch or of a whole list, and gives the version that was known as it began.
+func (c *Client) ask(ctx context.Context, watch bool) (resp *http.Response, known version, err error) {
+	c.order.Lock()
 	c.mu.Lock()
-	url := c.base + query
+	known = version{c.rev, c.has}
+	url := c.base
 	c.mu.Unlock()
+	c.order.Unlock()
+	if watch {
+		url += "?watch=1"
+		if known.has {
+			url += "&after=" + strconv.FormatUint(known.rev, 10)
+		}
+	}
+	resp, err = c.get(ctx, url)
+	return resp, known, err
+}
+
+// version is that of the list that was delivered last, if any.
+type version struct {
+	rev uint64
+	has bool
+}
+
+func (c *Client) get(ctx context.Context, url string) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return nil, err
@@ -261,7 +302,7 @@
 }
 
 func (c *Client) fetch(ctx context.Context) error {
-	resp, err := c.get(ctx, "")
+	resp, known, err := c.ask(ctx, false)
 	if err != nil {
 		return err
 	}
@@ -273,66 +314,114 @@
 	if len(text) > longestLine {
 		return errors.New("the list is too long")
 	}
-	return c.take(ctx, text)
+	_, err = c.take(ctx, text, known)
+	return err
 }
 
-func (c *Client) take(ctx context.Context, line []byte) error {
+// take delivers a line of a call that began, or had its last line, as known was known, and gives what is known then.
+func (c *Client) take(ctx context.Context, line []byte, known version) (version, error) {
 	rev, u, err := Parse(line)
 	if err != nil {
-		return err
+		return known, err
 	}
 	c.order.Lock()
 	defer c.order.Unlock()
 	if err := ctx.Err(); err != nil {
-		return err
+		return known, err
 	}
-	if c.has && rev < c.rev && u.Kind == logic.FleetChanges { // old news would undo newer
-		return fmt.Errorf("change %d after %d", rev, c.rev)
+	// Danger: old news would undo newer, a drain say. A whole list that is older than what was known as it was asked for
+	// is none: the versions have begun anew. One that another call has overtaken since is.
+	if c.has && rev < c.rev && (u.Kind == logic.FleetChanges || known != (version{c.rev, true})) {
+		return known, fmt.Errorf("version %d after %d", rev, c.rev)
 	}
 	c.rev, c.has = rev, true
 	c.deliver(u)
-	return nil
+	return version{rev, true}, nil
 }
 
 func (c *Client) watch(parent context.Context) (got bool) {
 	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
-	// Danger: a machine that is cut off says nothing. Without the empty lines the watch is dead.
-	alive := time.AfterFunc(c.callTime, cancel)
-	defer alive.Stop()
-	query := "?watch=1"
-	c.order.Lock()
-	if c.has {
-		query += "&after=" + strconv.FormatUint(c.rev, 10)
+	// Danger: a machine that is cut off says nothing. Without the empty lines the watch is dead, and bytes that make no
+	// line are no sign of life either.
+	first := c.firstTime
+	if c.slow.Load() && !c.pushed { // a service with a queue, which calls given up early make longer
+		first *= 2
 	}
-	c.order.Unlock()
-	resp, err := c.get(ctx, query)
+	alive := time.AfterFunc(first, func() {
+		c.slow.Store(true)
+		cancel()
+	})
+	defer func() { alive.Stop() }()
+	lasts := func(d time.Duration) bool {
+		if !alive.Stop() {
+			return false
+		}
+		alive = time.AfterFunc(d, cancel)
+		return true
+	}
+	resp, known, err := c.ask(ctx, true)
 	if err != nil {
 		return false
 	}
 	defer resp.Body.Close()
+	c.slow.Store(false)
+	if !lasts(c.silence) {
+		return false
+	}
 	r := bufio.NewReaderSize(resp.Body, 4<<10)
 	var line []byte
+	var open object
 	for {
 		part, err := r.ReadSlice('\n')
-		if len(part) > 0 {
-			alive.Reset(c.silence)
-		}
 		line = append(line, part...)
-		if errors.Is(err, bufio.ErrBufferFull) && len(line) <= longestLine {
+		if open.read(part); errors.Is(err, bufio.ErrBufferFull) && len(line) <= longestLine {
+			continue
+		}
+		if err != nil || len(line) > longestLine { // a line that broke off is none
+			return got
+		}
+		if open.unfinished() { // a list may come indented, over several lines
 			continue
 		}
-		if err != nil { // a line that broke off is none
+		if !lasts(c.silence) {
 			return got
 		}
 		if text := bytes.TrimSpace(line); len(text) > 0 {
-			if c.take(parent, text) != nil {
+			if known, err = c.take(parent, text, known); err != nil {
 				return got
 			}
 			got = true
 		}
+		open = object{}
 		if line = line[:0]; cap(line) > 64<<10 {
 			line = nil
 		}
 	}
 }
+
+// object follows whether a JSON object that begins a line has ended with it.
+type object struct {
+	depth           int
+	quoted, escaped bool
+}
+
+func (o *object) read(part []byte) {
+	for _, ch := range part {
+		switch {
+		case o.escaped:
+			o.escaped = false
+		case o.quoted:
+			o.escaped, o.quoted = ch == '\\', ch != '"'
+		case ch == '"':
+			o.quoted = true
+		case ch == '{', ch == '[':
+			o.depth++
+		case ch == '}', ch == ']':
+			o.depth--
+		}
+	}
+}
+
+// unfinished tells whether more is to come behind the end of the line; none does in the middle of a string.
+func (o *object) unfinished() bool { return o.depth > 0 && !o.quoted }
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -201,7 +201,7 @@
 // A machine that is cut off says nothing: a watch without its empty lines is dead.
 func TestSilentWatch(t *testing.T) {
 	fakes.Leaks(t)
-	w := start(t, false, "", func(c *Client) { c.callTime, c.silence = 50*time.Millisecond, 50*time.Millisecond })
+	w := start(t, false, "", func(c *Client) { c.firstTime, c.silence = 50*time.Millisecond, 50*time.Millisecond })
 	w.Watch(true)
 	c := fakes.Within(t, "a call", w.calls)
 	if c.uri != "/registry/instances?watch=1" {
