node: what was read is never closed as idle, and what is in hand at the end is answered

Causes found by reading and forced over loopback, each test failing with its change taken out: - A request read between the look at an idle connection and its close was lost, at shutdown and where descriptors are short (conns.shut, shutOldest). Taking what has come and closing as idle exclude each other now, and a connection with something unread is not closed (TestRequestAsItsConnectionIsShut, TestRoomIsNotMadeOfARequest). - A request taken so late that its time ends after the node's own end was cut off by the exit. Shortly before the end each request in hand has the answer that the module words, a refusal only where that is harmless (Balancer.Expire), and nothing is taken any more (TestInHandAtTheEnd). Interrupting readers raced with `busy`, so one in hand could be failed as out of time, or a reader not woken: all are woken now, and who sets a deadline looks behind it whether the end has come. A long answer goes on (TestLongAnswerOverTheEnd). A context without a deadline no longer means the end at once. - Connections in the backlog as the listener closed were reset. Stop has it emptied first (TestStopEmptiesTheBacklog). - Once the first bytes of a next request were there, nobody read on, so a client that left was not seen and its request sent (client.watch; TestLeavesBehindEarlyBytes). Left: a client with 8 KiB ahead of its answer, where what is unread hides its end. - A request whose client left before it was read was sent on, if its end was read a moment later (TestLeavesBeforeItIsRead).

--- a/internal/node/body.go
+++ b/internal/node/body.go
@@ -63,7 +63,7 @@
 		part := make([]byte, piece)
 		got := 0
 		for got < len(part) && err == nil {
-			if c.SetReadDeadline(until); n.ending.Load() {
+			if c.SetReadDeadline(until); n.ending() {
 				return nil, took, errEnding
 			}
 			var k int
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -14,7 +14,9 @@
 	"os"
 	"runtime/debug"
 	"strconv"
+	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -29,26 +31,90 @@
 
 type client struct {
 	*net.TCPConn
-	front         *Front
-	br            *bufio.Reader
-	quiet         atomic.Int64 // since when nothing is asked or read, on the node's clock; 0: something is
-	busy, writing atomic.Bool  // a request is with the module; its answer is being written
-	served        atomic.Bool
-	owing         atomic.Int64 // since when its head is on its way, on the node's clock; 0: it is not; -1: it was shed
-	prefix        netip.Prefix
-	peer          Peer
-	gone          atomic.Bool
+	front  *Front
+	raw    syscall.RawConn
+	br     *bufio.Reader
+	quiet  atomic.Int64 // since when nothing is asked or read, on the node's clock; 0: something is
+	ahead  atomic.Bool  // its reader waits behind what came before the answer
+	served atomic.Bool
+	owing  atomic.Int64 // since when its head is on its way, on the node's clock; 0: it is not; -1: it was shed
+	prefix netip.Prefix
+	peer   Peer
+
+	reading sync.Mutex // held while what has come is taken, and while the connection is closed as idle
+	begun   bool       // something has been read since the last request was taken
+	gone    atomic.Bool
 }
 
 var errHeadTooLong = errors.New("the head is too long")
 
-// Read notes that the connection is not idle.
-func (c *client) Read(p []byte) (int, error) {
-	n, err := c.TCPConn.Read(p)
-	if n > 0 {
-		c.quiet.Store(0)
+// Read notes that the connection is not idle, in one step with taking what has come. Danger: in two, a request that was
+// read in between is closed with the connection, and its client has no way to tell that it was not taken.
+func (c *client) Read(p []byte) (n int, err error) {
+	if werr := c.raw.Read(func(fd uintptr) bool {
+		c.reading.Lock()
+		defer c.reading.Unlock()
+		if c.gone.Load() {
+			err = net.ErrClosed
+			return true
+		}
+		for n, err = syscall.Read(int(fd), p); err == syscall.EINTR; n, err = syscall.Read(int(fd), p) {
+		}
+		if n > 0 {
+			c.quiet.Store(0)
+			c.begun = true
+		}
+		return err != syscall.EAGAIN
+	}); werr != nil {
+		return 0, werr
+	}
+	if n == 0 && err == nil && len(p) > 0 {
+		err = io.EOF
+	}
+	return max(n, 0), err
+}
+
+// taken notes that what was read belongs to a request that is taken now; rests that its answer is written: the connection
+// is idle unless a next one has begun.
+func (c *client) taken() {
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	c.begun = false
+}
+
+func (c *client) rests() {
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	if !c.begun {
+		c.front.conns.rest(c)
+	}
+}
+
+// closeIdle closes the connection, if idle still says so and nothing waits to be read.
+func (c *client) closeIdle(idle func() bool) bool {
+	c.reading.Lock()
+	ends := idle()
+	if waits, _ := c.look(); waits { // looked at last, as it is the kernel's to take more at any time
+		ends = false
+	}
+	ends = ends && !c.gone.Swap(true)
+	c.reading.Unlock()
+	if ends { // not under the lock: closing waits for who reads
+		c.end()
 	}
-	return n, err
+	return ends
+}
+
+// look tells whether something waits to be read, and whether the client has left, or has ended its sending, with
+// nothing behind what was read.
+func (c *client) look() (waits, left bool) {
+	err := c.raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		waits = n > 0
+		left = n == 0 && err == nil || err != nil && err != syscall.EAGAIN && err != syscall.EINTR
+	})
+	return waits, left || err != nil
 }
 
 // Close gives the descriptor back, once.
@@ -56,6 +122,10 @@
 	if c.gone.Swap(true) {
 		return nil
 	}
+	return c.end()
+}
+
+func (c *client) end() error {
 	err := c.TCPConn.Close()
 	c.front.conns.remove(c)
 	return err
@@ -173,19 +243,30 @@
 // watch waits for the end of a request; false if the connection ends with it.
 func (c *client) watch(core *Core, q *Request, x *exchange) bool {
 	_, err := c.br.Peek(1)
+	if err == nil && !q.isDone() { // the next request, or one that comes too early
+		// Danger: with nobody reading on, a client that leaves now is not seen to, and its request is sent all the same.
+		c.ahead.Store(true)
+		for err == nil && !x.over.Load() {
+			_, err = c.br.Peek(c.br.Buffered() + 1)
+		}
+		c.ahead.Store(false)
+	}
 	switch {
-	case err == nil: // the next request, or one that comes too early
-		if !q.isDone() {
-			guard := time.NewTimer(time.Until(q.deadline) + guardTime)
-			defer guard.Stop()
-			select {
-			case <-q.done:
-			case <-guard.C:
-				core.Abandon(q)
-			}
+	case err == nil:
+	case errors.Is(err, bufio.ErrBufferFull): // what is not read hides whether the client leaves
+		guard := time.NewTimer(time.Until(q.deadline) + guardTime)
+		defer guard.Stop()
+		select {
+		case <-q.done:
+		case <-guard.C:
+			core.Abandon(q)
+		case <-c.front.atEnd:
+			core.End(q)
 		}
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		if !q.isDone() {
+		if c.front.ending() {
+			core.End(q)
+		} else if !q.isDone() {
 			core.Abandon(q)
 		}
 		if <-q.done; !x.last {
@@ -204,6 +285,7 @@
 }
 
 func (c *client) hangUp() {
+	c.front.conns.rest(c)
 	c.CloseWrite()
 	c.SetReadDeadline(time.Now().Add(linger))
 	io.CopyN(io.Discard, c.br, lingerBytes)
@@ -257,6 +339,7 @@
 	wantsClose bool
 	noBody     bool
 	last       bool // the connection ends with the answer; set before the request is done
+	over       atomic.Bool
 	stream     *stream
 }
 
@@ -269,14 +352,12 @@
 func (x *exchange) finish(write func(last bool) error) {
 	c := x.c
 	x.last = c.front.last(x.wantsClose)
-	c.writing.Store(true)
-	c.front.conns.rest(c)
 	if write(x.last) != nil {
 		x.last = true
 	}
-	c.writing.Store(false)
-	if x.last {
-		c.SetReadDeadline(longAgo) // wakes the reader, to close the connection
+	c.rests()
+	if x.over.Store(true); x.last || c.ahead.Load() {
+		c.SetReadDeadline(longAgo) // wakes the reader, to close the connection or to serve what it has
 	}
 }
 
--- a/internal/node/conns.go
+++ b/internal/node/conns.go
@@ -5,6 +5,7 @@
 	"math"
 	"net"
 	"net/netip"
+	"os"
 	"slices"
 	"sync"
 	"time"
@@ -39,7 +40,7 @@
 
 func (c *conns) idle(k *client) time.Duration {
 	q := k.quiet.Load()
-	if q == 0 || k.writing.Load() {
+	if q == 0 {
 		return 0
 	}
 	return time.Since(c.boot) - time.Duration(q)
@@ -89,6 +90,7 @@
 	headsPart  = 4                      // of the clients' descriptors, one in so many may owe a head
 	prefixPart = 8                      // and of one address prefix, one in so many
 	mostShed   = 16                     // at once
+	mostPassed = 4                      // idle connections passed over for one descriptor
 )
 
 // owes notes that a client's head is on its way from now on; paid that it has come, and tells whether it came before the
@@ -163,34 +165,49 @@
 }
 
 func (c *conns) shutOldest() bool {
-	var oldest *client
-	most := settled
-	c.mu.Lock()
-	for k := range c.all {
-		if d := c.idle(k); d >= most && (k.served.Load() || d >= sendTime) {
-			oldest, most = k, d
-		}
+	old := func(k *client) bool {
+		d := c.idle(k)
+		return d >= settled && (k.served.Load() || d >= sendTime)
 	}
-	c.mu.Unlock()
-	if oldest != nil {
-		oldest.Close()
+	var passed []*client // whose next request has come: they are as good as busy
+	for len(passed) < mostPassed {
+		var oldest *client
+		var most time.Duration
+		c.mu.Lock()
+		for k := range c.all {
+			if d := c.idle(k); d > most && old(k) && !slices.Contains(passed, k) {
+				oldest, most = k, d
+			}
+		}
+		c.mu.Unlock()
+		if oldest == nil {
+			return false
+		}
+		if oldest.closeIdle(func() bool { return old(oldest) }) {
+			return true
+		}
+		passed = append(passed, oldest)
 	}
-	return oldest != nil
+	return false
 }
 
+// shut closes the connections that have been idle for so long, and new ones on which nothing came for five times that.
 func (c *conns) shut(idle time.Duration) {
 	for _, k := range c.list() {
-		if d := c.idle(k); d >= 5*idle || d >= idle && k.served.Load() {
-			k.Close()
+		old := func() bool {
+			d := c.idle(k)
+			return d >= 5*idle || d >= idle && k.served.Load()
+		}
+		if old() {
+			k.closeIdle(old)
 		}
 	}
 }
 
+// interrupt wakes all who read.
 func (c *conns) interrupt() {
 	for _, k := range c.list() {
-		if !k.busy.Load() {
-			k.SetReadDeadline(longAgo)
-		}
+		k.SetReadDeadline(longAgo)
 	}
 }
 
@@ -213,23 +230,39 @@
 	}
 }
 
-// Serve accepts clients on l and serves them until l is closed. Nothing else ends it: where accepting fails,
-// for want of a descriptor mostly, room is made, as what waits in the backlog counts as taken.
+// Serve accepts clients on l and serves them until l is closed, or Stop has had its backlog emptied. Nothing else ends it:
+// where accepting fails, for want of a descriptor mostly, room is made, as what waits in the backlog counts as taken.
 func (n *Front) Serve(l net.Listener) { n.ServeAs("", l) }
 
 // ServeAs is Serve under a name, which the Router is told.
 func (n *Front) ServeAs(name string, l net.Listener) {
-	for {
+	n.serving.Add(1)
+	defer n.serving.Add(-1)
+	for empty := false; ; {
 		nc, err := l.Accept()
-		if errors.Is(err, net.ErrClosed) {
+		switch {
+		case errors.Is(err, net.ErrClosed):
 			return
-		}
-		if err != nil {
+		case errors.Is(err, os.ErrDeadlineExceeded): // Stop has come
+			// Danger: a time that was over before Accept began says nothing of the backlog.
+			if empty || !n.stopping.Load() {
+				l.Close()
+				return
+			}
+			empty = true
+			l.(deadliner).SetDeadline(time.Now().Add(lastAccept))
+			continue
+		case err != nil:
 			n.conns.budget.Room()
 			time.Sleep(acceptRetry)
 			continue
 		}
+		empty = false
 		k := &client{TCPConn: nc.(*net.TCPConn), front: n, peer: Peer{Listener: name}}
+		if k.raw, err = k.SyscallConn(); err != nil { // it is closed already
+			nc.Close()
+			continue
+		}
 		if a, ok := nc.RemoteAddr().(*net.TCPAddr); ok {
 			k.peer.Addr = a.AddrPort().Addr().Unmap()
 		}
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -213,6 +213,12 @@
 	})
 }
 
+// End gives a request that has no answer yet the one that the decision module words as things stand.
+func (n *Core) End(q *Request) {
+	n.do(func(now time.Duration) { n.bal.Expire(now, q.id) })
+	n.Abandon(q) // where the module does not know of it
+}
+
 // Expire gives every request in hand that has no answer yet its one answer now, as say words it: sent tells whether an attempt may
 // have run. What is being passed on to a client goes on. It gives how many were answered.
 func (n *Core) Expire(say func(w logic.Request, sent bool) Answer) (count int) {
--- /dev/null
+++ b/internal/node/crossings_test.go
@@ -0,0 +1,342 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"arrowhitch/internal/fakes"
+)
+
+// A client has sent the first bytes of another request, and then leaves: that is seen, and what it waited for is not sent.
+func TestLeavesBehindEarlyBytes(t *testing.T) {
+	for name, leave := range map[string]func(net.Conn){"closed": func(c net.Conn) { c.Close() }, "reset": fakes.Reset,
+		"half closed": func(c net.Conn) { c.(*net.TCPConn).CloseWrite() }} {
+		t.Run(name, func(t *testing.T) {
+			fakes.Leaks(t)
+			b := fakes.NewBackend(t, func(fakes.Seen, int) string { return ok })
+			w := start(t, nil) // no list yet: it waits
+			c := w.dial(t)
+			c.send(head("GET", "get"))
+			fakes.Eventually(t, "the request", func() bool { return w.held() == 1 })
+			c.send("GET ")
+			k := w.conns.list()[0]
+			fakes.Eventually(t, "the early bytes to be read", func() bool { waits, _ := k.look(); return !waits })
+			leave(c.Conn)
+			// Else the module refuses it once it has waited for too long.
+			fakes.Eventually(t, "its end to be seen", func() bool { return w.held() == 0 })
+			if s := w.Stats(); s.Left != 1 || s.Refused != 0 {
+				t.Errorf("left %d, refused %d", s.Left, s.Refused)
+			}
+			w.list(b.Addr)
+			for code := 0; code != 200; { // the module may refuse some, as the first one was not served
+				o := w.dial(t)
+				o.send(head("GET", "get"))
+				code, _, _ = o.answer(t)
+				o.Close()
+			}
+			if n := len(b.Seen()); n != 1 {
+				t.Errorf("%d requests were sent", n)
+			}
+		})
+	}
+}
+
+// The next request comes whole before the answer to the one in hand: it is served behind it, at once.
+func TestNextRequestAheadOfTheAnswer(t *testing.T) {
+	fakes.Leaks(t)
+	came, goOn := make(chan struct{}, 9), make(chan struct{})
+	b := fakes.NewBackend(t, func(fakes.Seen, int) string { came <- struct{}{}; <-goOn; return ok })
+	w := start(t, nil, b.Addr)
+	for range 100 {
+		c := w.dial(t)
+		c.send(head("GET", "get"))
+		fakes.Within(t, "the request", came)
+		c.send(head("GET", "get"))
+		goOn <- struct{}{}
+		fakes.Within(t, "the next request", came)
+		goOn <- struct{}{}
+		for range 2 {
+			if code, _, _ := c.answer(t); code != 200 {
+				t.Fatal(code)
+			}
+		}
+		c.Close()
+	}
+}
+
+// heldReads routes as the node does, and has nothing read from clients from then on.
+type heldReads struct {
+	*world
+	goOn chan struct{}
+}
+
+func (h *heldReads) Route(r *http.Request, from Peer) Destination {
+	for _, k := range h.conns.list() {
+		k.reading.Lock()
+		go func() {
+			<-h.goOn
+			k.reading.Unlock()
+		}()
+	}
+	return h.Node.Route(r, from)
+}
+
+// A client left while its request waited in the kernel: it is not sent on, though its end is not read yet.
+func TestLeavesBeforeItIsRead(t *testing.T) {
+	fakes.Leaks(t)
+	b := fakes.NewBackend(t, func(fakes.Seen, int) string { return ok })
+	w := start(t, nil, b.Addr)
+	h := &heldReads{w, make(chan struct{})}
+	w.Front.router = h
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	io.WriteString(c, head("POST", "put", "Idempotency-Key: k", "Content-Length: 1")+"x")
+	c.(*net.TCPConn).CloseWrite()
+	served := make(chan struct{})
+	go func() { w.Serve(l); close(served) }() // only now is anything read
+	c.SetDeadline(time.Now().Add(fakes.Patience))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil) // it may read yet
+	close(h.goOn)
+	if err != nil || resp.StatusCode != http.StatusServiceUnavailable || len(b.Seen()) != 0 {
+		t.Errorf("%v, %v, and %d requests were sent", resp, err, len(b.Seen()))
+	}
+	c.Close()
+	fakes.Eventually(t, "all to be over", func() bool { return w.held() == 0 && w.Conns() == 0 })
+	l.Close()
+	<-served
+}
+
+// What is in hand near the node's end has its one answer: a refusal only where no attempt can have run.
+func TestInHandAtTheEnd(t *testing.T) {
+	fakes.Leaks(t)
+	came := make(chan string, 9)
+	b := fakes.NewPeer(t, func(c net.Conn, _ int) {
+		buf := make([]byte, 4<<10)
+		n, _ := c.Read(buf)
+		came <- string(buf[:n])
+		io.Copy(io.Discard, c)
+	})
+	w := start(t, nil, b.Addr)
+	sent := map[string]*peer{}
+	for name, text := range map[string]string{
+		"unsafe": head("POST", "post", "Content-Length: 1") + "x",
+		"keyed":  head("POST", "put", "Idempotency-Key: k", "Content-Length: 1") + "x",
+		"safe":   head("GET", "get"),
+	} {
+		sent[name] = w.dial(t)
+		sent[name].send(text)
+		fakes.Within(t, "the request", came)
+	}
+	sentTo := w
+	w = start(t, nil) // one that has no list yet, and holds what comes
+	held, half := w.dial(t), w.dial(t)
+	held.send(head("POST", "post", "Content-Length: 1") + "x")
+	text := head("POST", "put", "Idempotency-Key: k", "Content-Length: 4")
+	half.send(text + "bo")
+	ahead := w.dial(t) // its reader waits behind the start of another request
+	ahead.send(head("POST", "post", "Content-Length: 1") + "x")
+	fakes.Eventually(t, "them", func() bool { return w.held() == 2 })
+	ahead.send("POST ")
+	last := w.dial(t)
+	last.send("GET /get/x HTTP/1.1\r\nHost: x\r\n")
+	stopped := make(chan struct{}, 2)
+	for _, w := range []*world{w, sentTo} {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), acceptOn+lastCall+300*time.Millisecond)
+			defer cancel()
+			w.Stop(ctx, w.l)
+			stopped <- struct{}{}
+		}()
+	}
+	fakes.Within(t, "the end to be near", w.atEnd)
+	last.send("X-Trace-Id: last\r\nX-Qos: get\r\n\r\n")
+	for name, c := range sent {
+		code, _, _ := c.answer(t)
+		if name == "safe" != (code == http.StatusServiceUnavailable) || name != "safe" && code != http.StatusBadGateway {
+			t.Errorf("%s, sent: %d", name, code)
+		}
+	}
+	for name, c := range map[string]*peer{"held": held, "half a body": half, "held, with bytes behind": ahead} {
+		if code, _, _ := c.answer(t); code != http.StatusServiceUnavailable {
+			t.Errorf("%s: %d", name, code)
+		}
+	}
+	if code, _, _ := last.answer(t); code == http.StatusOK { // it came too late, or was half a head
+		t.Errorf("the last one: %d", code)
+	}
+	fakes.Within(t, "the end", stopped)
+	fakes.Within(t, "the other end", stopped)
+	if len(came) != 0 {
+		t.Errorf("sent at the end: %q", <-came)
+	}
+}
+
+// A long answer is being passed on as the node nears its end: it goes on, and is whole.
+func TestLongAnswerOverTheEnd(t *testing.T) {
+	fakes.Leaks(t)
+	goOn := make(chan struct{})
+	half := strings.Repeat("0123456789abcdef", 8<<10)
+	b := fakes.NewPeer(t, func(c net.Conn, _ int) {
+		c.Read(make([]byte, 4<<10))
+		io.WriteString(c, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", 2*len(half), half))
+		<-goOn
+		io.WriteString(c, half)
+	})
+	w := start(t, nil, b.Addr)
+	c := w.dial(t)
+	c.send(head("GET", "get"))
+	if _, err := c.r.Peek(1); err != nil {
+		t.Fatal(err)
+	}
+	stopped := make(chan struct{})
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), acceptOn+lastCall+300*time.Millisecond)
+		defer cancel()
+		w.Stop(ctx, w.l)
+		close(stopped)
+	}()
+	fakes.Within(t, "the end to be near", w.atEnd)
+	close(goOn)
+	if code, body, _ := c.answer(t); code != 200 || body != half+half {
+		t.Errorf("%d and %d bytes", code, len(body))
+	}
+	fakes.Within(t, "the end", stopped)
+}
+
+// A request comes between the look at an idle connection and its end: it is served, and the connection kept.
+func TestRequestAsItsConnectionIsShut(t *testing.T) {
+	fakes.Leaks(t)
+	b := fakes.NewBackend(t, func(fakes.Seen, int) string { return ok })
+	w := start(t, nil, b.Addr)
+	c := w.dial(t)
+	c.send(head("GET", "get"))
+	c.answer(t)
+	k := w.conns.list()[0]
+	fakes.Eventually(t, "it to be idle", func() bool { return w.conns.idle(k) > 0 })
+	shut := k.closeIdle(func() bool {
+		c.send(head("GET", "get"))
+		fakes.Eventually(t, "the request to be there, or to be read", func() bool {
+			waits, _ := k.look()
+			return waits || w.conns.idle(k) == 0
+		})
+		return true // what was seen before it came
+	})
+	if shut {
+		t.Error("shut")
+	}
+	if code, _, _ := c.answer(t); code != 200 {
+		t.Errorf("%d", code)
+	}
+}
+
+// Descriptors are short, and the client that has been idle for longest has just sent a request that nobody has read yet:
+// another one makes room.
+func TestRoomIsNotMadeOfARequest(t *testing.T) {
+	fakes.Leaks(t)
+	b := fakes.NewBackend(t, func(fakes.Seen, int) string { return ok })
+	w := start(t, nil, b.Addr)
+	c := [2]*peer{}
+	var k [2]*client
+	for i := range c {
+		c[i] = w.dial(t)
+		c[i].send(head("GET", "get"))
+		c[i].answer(t)
+		for _, x := range w.conns.list() {
+			if x != k[0] {
+				k[i] = x
+			}
+		}
+		fakes.Eventually(t, "it to be idle", func() bool { return w.conns.idle(k[i]) >= settled })
+	}
+	k[0].reading.Lock()
+	c[0].send(head("GET", "get"))
+	fakes.Eventually(t, "the request", func() bool { waits, _ := k[0].look(); return waits })
+	go k[0].reading.Unlock()
+	if !w.conns.shutOldest() {
+		t.Error("no room was made")
+	}
+	if code, _, _ := c[0].answer(t); code != 200 {
+		t.Errorf("%d", code)
+	}
+	if !c[1].closed() {
+		t.Error("the other one is kept")
+	}
+}
+
+// heldListener accepts nothing until it is told that accepting ends.
+type heldListener struct {
+	*net.TCPListener
+	ends chan struct{}
+	told bool
+}
+
+func (l *heldListener) end() {
+	if !l.told {
+		l.told = true
+		close(l.ends)
+	}
+}
+
+func (l *heldListener) Accept() (net.Conn, error) { <-l.ends; return l.TCPListener.Accept() }
+
+func (l *heldListener) SetDeadline(t time.Time) error {
+	defer l.end()
+	return l.TCPListener.SetDeadline(t)
+}
+
+func (l *heldListener) Close() error {
+	defer l.end()
+	return l.TCPListener.Close()
+}
+
+// Connections that the kernel took and the node had no time to accept are served before the listener closes.
+func TestStopEmptiesTheBacklog(t *testing.T) {
+	fakes.Leaks(t)
+	b := fakes.NewBackend(t, func(fakes.Seen, int) string { return ok })
+	w := start(t, nil, b.Addr)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := &heldListener{TCPListener: l.(*net.TCPListener), ends: make(chan struct{})}
+	served := make(chan struct{})
+	go func() { w.ServeAs("held", h); close(served) }()
+	fakes.Eventually(t, "both to serve", func() bool { return w.serving.Load() == 2 })
+	var c []*peer
+	for range 20 {
+		k, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer k.Close()
+		p := &peer{k, nil}
+		p.send(head("GET", "get"))
+		c = append(c, p)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), fakes.Patience)
+	defer cancel()
+	w.Stop(ctx, h, w.l)
+	fakes.Within(t, "the end of serving", served)
+	for i, p := range c {
+		p.SetDeadline(time.Now().Add(fakes.Patience))
+		// A burst may be refused in part; none may end without an answer.
+		if text, err := io.ReadAll(p); !strings.HasPrefix(string(text), "HTTP/1.1 200") && !strings.HasPrefix(string(text), "HTTP/1.1 503") {
+			t.Errorf("connection %d: %q, %v", i, text, err)
+		}
+	}
+}
+
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -45,7 +45,9 @@
 	conns   *conns
 	bodies  bodyBudget
 
-	stopping, ending, closing atomic.Bool
+	stopping, closing atomic.Bool
+	serving           atomic.Int32  // how many accept
+	atEnd             chan struct{} // closed when what is in hand is to have its answer at once
 }
 
 // FrontOptions bound a front.
@@ -60,7 +62,8 @@
 
 // NewFront makes a front.
 func NewFront(opt FrontOptions) *Front {
-	f := &Front{router: opt.Router, longest: opt.LongestBody, whole: opt.WholeWaits, conns: newConns(opt.Budget, opt.ShedHeads)}
+	f := &Front{router: opt.Router, longest: opt.LongestBody, whole: opt.WholeWaits, conns: newConns(opt.Budget, opt.ShedHeads),
+		atEnd: make(chan struct{})}
 	if f.longest <= 0 {
 		f.longest = LongestBody
 	}
@@ -72,6 +75,15 @@
 	return wantsClose || f.stopping.Load() || f.closing.Load() || f.conns.crowded()
 }
 
+func (f *Front) ending() bool {
+	select {
+	case <-f.atEnd:
+		return true
+	default:
+		return false
+	}
+}
+
 // Closing has each connection end behind its next answer, or go on again.
 func (f *Front) Closing(on bool) { f.closing.Store(on) }
 
@@ -81,5 +93,9 @@
 // Conns is how many clients are connected.
 func (f *Front) Conns() int { return len(f.conns.list()) }
 
-// Shut closes what is idle.
-func (f *Front) Shut() { f.conns.shut(0) }
+// Shut closes all connections.
+func (f *Front) Shut() {
+	for _, k := range f.conns.list() {
+		k.Close()
+	}
+}
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -26,12 +26,14 @@
 		return false
 	case d.Core == nil:
 		last := n.last(r.Close)
-		n.conns.rest(c)
 		a := d.answer()
 		a.noBody = r.Method == http.MethodHead
 		if c.write(a, last) != nil {
 			return false
 		}
+		if c.br.Buffered() == 0 {
+			c.front.conns.rest(c)
+		}
 		if last {
 			c.hangUp()
 		}
@@ -52,7 +54,7 @@
 		switch {
 		case errors.Is(err, errTooLong):
 			status = http.StatusRequestEntityTooLarge
-		case errors.Is(err, errNoMemory), n.ending.Load(): // it has not been sent on
+		case errors.Is(err, errNoMemory), n.ending(): // it has not been sent on
 			status = http.StatusServiceUnavailable
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			status = http.StatusRequestTimeout
@@ -73,12 +75,22 @@
 	q.Send.Method, q.Send.URI, q.Send.Host = r.Method, r.URL.RequestURI(), r.Host
 	header := endToEnd(r.Header)
 	q.Send.Header = header
-	c.busy.Store(true)
-	defer c.busy.Store(false)
+	// Danger: a client may have left while its request waited to be read. Nobody wants the answer, and the work is real.
+	if _, left := c.look(); left {
+		memory.Give(q.Held)
+		c.reject(http.StatusServiceUnavailable, "the client has left")
+		return false
+	}
+	c.taken()
 	for range reroutes {
 		q.Words = d.Words
 		q.Words.Size = q.Send.Body.Len()
 		c.SetReadDeadline(time.Now().Add(q.Words.Left + guardTime))
+		if n.ending() { // not sooner: who ends what is in hand wakes its reader by that time
+			memory.Give(q.Held)
+			c.reject(http.StatusServiceUnavailable, errEnding.Error())
+			return false
+		}
 		status, ok := d.Core.Take(q)
 		switch {
 		case ok:
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -10,22 +10,27 @@
 	acceptOn = 550 * time.Millisecond // connections still come for up to 0.4 s after the signal
 	shutGap  = 10 * time.Millisecond
 	lastCall = 100 * time.Millisecond
+
+	lastAccept = 10 * time.Millisecond // with none in the backlog for so long, twice, it is empty
+	emptyMost  = time.Second
 )
 
+type deadliner interface{ SetDeadline(t time.Time) error }
+
 // Stop ends the front without losing a request: it goes on accepting while the front still sends, has every
-// client close behind its answer, closes what is idle and waits for the rest, until ctx ends.
+// client close behind its answer, closes what is idle and waits for the rest. Shortly before ctx's deadline what is still in
+// hand gets its answer as it stands, and nothing new is taken; what is being passed on goes on until ctx ends.
 func (n *Front) Stop(ctx context.Context, listeners ...net.Listener) {
 	n.stopping.Store(true)
 	pause(ctx, acceptOn)
-	for _, l := range listeners {
-		l.Close()
+	n.empty(ctx, listeners)
+	if end, ok := ctx.Deadline(); ok {
+		call := time.AfterFunc(time.Until(end)-lastCall, func() {
+			close(n.atEnd)
+			n.conns.interrupt()
+		})
+		defer call.Stop()
 	}
-	end, _ := ctx.Deadline()
-	call := time.AfterFunc(time.Until(end)-lastCall, func() {
-		n.ending.Store(true)
-		n.conns.interrupt()
-	})
-	defer call.Stop()
 	done := make(chan struct{})
 	go func() {
 		n.conns.drained()
@@ -42,6 +47,22 @@
 	}
 }
 
+// empty accepts what the listeners' backlogs hold, and closes them. Danger: a connection that the kernel has taken may
+// carry a request, and closing the listener resets it.
+func (n *Front) empty(ctx context.Context, listeners []net.Listener) {
+	for _, l := range listeners {
+		if d, ok := l.(deadliner); ok {
+			d.SetDeadline(longAgo)
+		}
+	}
+	for end := time.Now().Add(emptyMost); n.serving.Load() > 0 && ctx.Err() == nil && time.Now().Before(end); {
+		pause(ctx, time.Millisecond)
+	}
+	for _, l := range listeners {
+		l.Close()
+	}
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -835,6 +835,14 @@
 	}
 }
 
+// Expire notes that a request is to have its final answer now, whatever is out.
+func (b *Balancer) Expire(now time.Duration, id string) {
+	if r := b.requests[id]; r != nil && !r.done && !r.streams {
+		b.finish(now, r)
+		b.pull(now)
+	}
+}
+
 // Timer takes a timer that has run out.
 func (b *Balancer) Timer(now time.Duration, token uint64) {
 	if token == asksSeq {
