arrowhitch: signals are heard from the start to the end; another node's file changes nothing

- SIGHUP after SIGTERM was read by nobody, so what was in hand went on by the list of an address that was gone.
It is read until the process ends (TestSignalsTogether: with SIGTERM twice, a request in hand, one taken during the shutdown, the new list's drain).
- SIGTERM between listening and its handler ended the process and reset what clients had sent.
The handler comes first (TestSIGTERMAsItBeginsToListen, with a remembered list that takes long to read).
Before the first list what is held is refused (TestSIGTERMBeforeTheFirstList; held before as well).
- SIGHUP with a file of another node or deployment moved this node to the other's discovery.
A file with another name or address to listen on, or with none of this node's classes, is refused now with the field and the reason; empty and cut files were before.
Tried in testReload; with the change taken out it waits for the refusal in vain.

--- a/cmd/arrowhitch/main.go
+++ b/cmd/arrowhitch/main.go
@@ -89,8 +89,8 @@
 }
 
 // reload reads the file anew and moves news to the address of discovery that it names. Nothing else of it is taken
-// over before the next start. A file that cannot be used changes nothing.
-func reload(news *discovery.Client) error {
+// over before the next start. A file that cannot be used, or that is another node's, changes nothing.
+func reload(running *config, news *discovery.Client) error {
 	c, err := load()
 	if err != nil {
 		return err
@@ -98,11 +98,32 @@
 	if _, err := c.Settings.Settings(); err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
+	if err := running.same(&c); err != nil {
+		return err
+	}
 	news.Move(c.Discovery)
 	slog.Info("the configuration was read anew", "discovery", c.Discovery)
 	return nil
 }
 
+// same names the field by which c is another node's or deployment's, if any.
+func (running *config) same(c *config) error {
+	switch {
+	case c.Name != running.Name:
+		return fmt.Errorf("the configuration's name: %q, and this node is %q", c.Name, running.Name)
+	case c.Listen != running.Listen:
+		return fmt.Errorf("the configuration's listen: %q, and this node listens on %q", c.Listen, running.Listen)
+	}
+	for _, class := range c.Settings.Profiles {
+		for _, own := range running.Settings.Profiles {
+			if class.Name == own.Name {
+				return nil
+			}
+		}
+	}
+	return errors.New("the configuration's settings.profiles: none of this node's classes is in it")
+}
+
 // bound fits the runtime into the limits.
 func bound(c *config) {
 	if c.Limits.Cores > 0 {
@@ -116,8 +137,11 @@
 }
 
 func run() error {
-	hup := make(chan os.Signal, 1) // first of all, as it would end the process where nobody listens for it
+	// First of all, as either would end the process where nobody listens for it.
+	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
 	c, err := load()
 	if err != nil {
 		return err
@@ -158,18 +182,15 @@
 	if err := n.Start(news, c.Known); err != nil {
 		slog.Warn("the known list is of no use", "err", err)
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
 	go n.Serve(l)
-	for ctx.Err() == nil {
-		select {
-		case <-ctx.Done():
-		case <-hup:
-			if err := reload(news); err != nil {
+	go func() { // until the process ends: what it holds is still sent by the list
+		for range hup {
+			if err := reload(&c, news); err != nil {
 				slog.Error("the new configuration is of no use, the old one goes on", "err", err)
 			}
 		}
-	}
+	}()
+	<-ctx.Done()
 	longest := time.Duration(0)
 	for _, class := range settings.Classes {
 		longest = max(longest, class.Deadline)
--- a/cmd/arrowhitch/main_test.go
+++ b/cmd/arrowhitch/main_test.go
@@ -189,7 +189,10 @@
 	if name := fakes.Within(t, "a first call", calls); name != "first" {
 		t.Errorf("called %s", name)
 	}
-	for _, bad := range []string{"{", "{}", at("nowhere"), strings.Replace(at("127.0.0.1:1"), "free", "odd", 1)} {
+	good := at("127.0.0.1:1")
+	for _, bad := range []string{"", "{", "{}", good[:len(good)/2], good[:len(good)-1], at("nowhere"), strings.Replace(good, "free", "odd", 1),
+		strings.Replace(good, `"name":"n0"`, `"name":"n1"`, 1), strings.Replace(good, listen, "127.0.0.1:2", 1),
+		strings.Replace(good, `"name":"get"`, `"name":"other"`, 1)} { // the last three are another node's or deployment's
 		write(bad)
 		cmd.Process.Signal(syscall.SIGHUP)
 		said("of no use")
--- /dev/null
+++ b/cmd/arrowhitch/signals_test.go
@@ -0,0 +1,213 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"arrowhitch/internal/fakes"
+)
+
+// process is a node as it is deployed.
+type process struct {
+	*exec.Cmd
+	listen, path string
+	log          bytes.Buffer
+}
+
+func launch(t *testing.T, bin string, text func(listen string) string) *process {
+	t.Helper()
+	p := &process{listen: fakes.Refusing(t), path: filepath.Join(t.TempDir(), "config.json")}
+	p.write(t, text(p.listen))
+	p.Cmd = exec.Command(filepath.Join(bin, "arrowhitch"))
+	p.Env = append(os.Environ(), "PROXY_CONFIG="+p.path)
+	p.Stderr = &p.log
+	if err := p.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if p.ProcessState == nil {
+			p.Process.Kill()
+			p.Wait()
+		}
+	})
+	return p
+}
+
+func (p *process) write(t *testing.T, text string) {
+	t.Helper()
+	if err := os.WriteFile(p.path+".new", []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Rename(p.path+".new", p.path); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// connect gives a connection as soon as the node listens.
+func (p *process) connect(t *testing.T) net.Conn {
+	t.Helper()
+	var c net.Conn
+	fakes.Eventually(t, "the node to listen", func() (ok bool) {
+		var err error
+		c, err = net.Dial("tcp", p.listen)
+		return err == nil
+	})
+	c.SetDeadline(time.Now().Add(fakes.Patience))
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
+func (p *process) ends(t *testing.T) {
+	t.Helper()
+	if err := p.Wait(); err != nil {
+		t.Errorf("%v\n%s", err, p.log.Bytes())
+	}
+}
+
+func request(id string) string {
+	return "GET /get/x HTTP/1.1\r\nHost: x\r\nX-Qos: get\r\nX-Trace-Id: " + id + "\r\n\r\n"
+}
+
+func status(t *testing.T, c net.Conn) int {
+	t.Helper()
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Errorf("no answer: %v", err)
+		return 0
+	}
+	io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode
+}
+
+// registry is a stand-in for discovery that tells of each call.
+func registry(t *testing.T, name string, calls chan<- string, begin func(c net.Conn)) string {
+	t.Helper()
+	over := make(chan struct{})
+	p := fakes.NewPeer(t, func(c net.Conn, _ int) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
+		if begin != nil {
+			begin(c)
+		}
+		calls <- name
+		<-over
+	})
+	t.Cleanup(func() { close(over) })
+	return p.Addr
+}
+
+// SIGTERM comes as soon as the node listens, before it has read the list that it remembers: it ends well, and what a client
+// sent by then has its answer.
+func TestSIGTERMAsItBeginsToListen(t *testing.T) {
+	bin := build(t)
+	var many strings.Builder // long to read
+	for i := range 20000 {
+		fmt.Fprintf(&many, `{"uid":"u%d","endpoint":"127.0.0.1:1","az":"a","model":"m","pod_group":0,"state":"DRAINING","capacity_hint":1,"boot_ms":0},`, i)
+	}
+	p := launch(t, bin, func(listen string) string {
+		return strings.Replace(configText(listen, "127.0.0.1:1", settings), `"targets":[`, `"targets":[`+many.String(), 1)
+	})
+	c := p.connect(t)
+	p.Process.Signal(syscall.SIGTERM)
+	io.WriteString(c, request("1"))
+	if code := status(t, c); code == 0 {
+		t.Error("not answered")
+	}
+	p.ends(t)
+}
+
+// Requests are in hand, and SIGTERM, SIGHUP and SIGTERM come at once: each is answered, the move of discovery is followed
+// during the shutdown too, and what the new one tells of a drain counts.
+func TestSignalsTogether(t *testing.T) {
+	bin := build(t)
+	came, goOn := make(chan string, 9), make(chan struct{})
+	answer := func(name string) func(fakes.Seen, int) string {
+		return func(fakes.Seen, int) string {
+			came <- name
+			<-goOn
+			return "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+		}
+	}
+	a, b := fakes.NewBackend(t, answer("a")), fakes.NewBackend(t, answer("b"))
+	calls := make(chan string, 9)
+	first := registry(t, "first", calls, nil)
+	second := registry(t, "second", calls, func(c net.Conn) {
+		entry := `{"uid":"%s","endpoint":"%s","az":"a","model":"m","pod_group":0,"state":"%s","capacity_hint":1,"boot_ms":0}`
+		text := `{"rev":9,"all":true,"targets":[` + fmt.Sprintf(entry, "s", a.Addr, "DRAINING") + "," + fmt.Sprintf(entry, "b", b.Addr, "SERVING") + "]}\n"
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(text), text)
+	})
+	at := func(discovery string) func(string) string {
+		return func(listen string) string {
+			return strings.Replace(configText(listen, a.Addr, settings), "127.0.0.1:1", discovery, 1)
+		}
+	}
+	p := launch(t, bin, at(first))
+	if name := fakes.Within(t, "a call", calls); name != "first" {
+		t.Errorf("called %s", name)
+	}
+	c := p.connect(t)
+	io.WriteString(c, request("1"))
+	if name := fakes.Within(t, "the request", came); name != "a" {
+		t.Errorf("sent to %s", name)
+	}
+	late := p.connect(t)
+	p.write(t, at(second)(p.listen))
+	p.Process.Signal(syscall.SIGTERM)
+	fakes.Eventually(t, "the shutdown", func() bool { // it is not ready any more
+		resp, err := http.Get("http://" + p.listen + "/health/ready")
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		return resp.StatusCode == http.StatusServiceUnavailable
+	})
+	p.Process.Signal(syscall.SIGHUP)
+	p.Process.Signal(syscall.SIGTERM)
+	if name := fakes.Within(t, "a call at the new address", calls); name != "second" {
+		t.Errorf("called %s", name)
+	}
+	io.WriteString(late, request("2"))
+	// The list has been written to the node; it may take it some time to read it, and none to learn of a second's grace.
+	if name := fakes.Within(t, "the late request", came); name != "b" && name != "a" {
+		t.Errorf("sent to %s", name)
+	}
+	close(goOn)
+	for name, c := range map[string]net.Conn{"in hand": c, "late": late} {
+		if code := status(t, c); code != http.StatusOK {
+			t.Errorf("%s: %d", name, code)
+		}
+	}
+	p.ends(t)
+}
+
+// SIGTERM comes before the first list: what is held has its one answer, a refusal, as nothing was sent.
+func TestSIGTERMBeforeTheFirstList(t *testing.T) {
+	bin := build(t)
+	calls := make(chan string, 9)
+	d := registry(t, "first", calls, nil)
+	p := launch(t, bin, func(listen string) string {
+		text := strings.Replace(configText(listen, "127.0.0.1:1", settings), `"127.0.0.1:1","seed"`, fmt.Sprintf("%q,%q", d, "seed"), 1)
+		i, j := strings.Index(text, `"known"`), strings.Index(text, `"settings"`)
+		return text[:i] + text[j:]
+	})
+	fakes.Within(t, "a call", calls)
+	c := p.connect(t)
+	io.WriteString(c, request("1"))
+	p.Process.Signal(syscall.SIGTERM)
+	if code := status(t, c); code != http.StatusServiceUnavailable {
+		t.Errorf("%d", code)
+	}
+	p.ends(t)
+}
