backend: a connection rests 10 ms behind an answer before it carries another request

A connection reused in between passes the check for unasked bytes, and the next request is served with another's answer: TestSecondAnswerBehindTheNextRequest, where the peer holds the second answer until the next request stands on the connection ("/2 was answered /1").

Ruled out: telling the two apart by what is read. HTTP/1.1 has no mark of which request an answer is for, equal answers are common, and one that comes before its request was written is found already. So a connection rests; what comes later than that still passes.

Also shown, no change: a reused connection that breaks at each point is "could not connect" only where the last byte was not written (TestReusedConnectionBreaks); one closed before it is reused is not used (TestClosedBeforeItIsReused); a backend back under its id has attempts to the old one counted once (TestBackUnderItsID).

--- a/cmd/arrowhitch/main.go
+++ b/cmd/arrowhitch/main.go
@@ -43,6 +43,7 @@
 	spareSockets = 32 // descriptors for the runtime, discovery and the standard streams
 	killAfter    = 700 * time.Millisecond
 	killMargin   = 200 * time.Millisecond
+	answerRest   = 10 * time.Millisecond // the platform's backends may send a second answer some milliseconds behind the first
 )
 
 func load() (c config, err error) {
@@ -164,7 +165,7 @@
 		memory = 192 << 20
 	}
 	budget := backend.NewBudget(sockets - spareSockets)
-	pool := backend.NewPool(backend.Options{ConnectTimeout: settings.ConnectTimeout, IdleTimeout: settings.ConnIdle}, budget)
+	pool := backend.NewPool(backend.Options{ConnectTimeout: settings.ConnectTimeout, IdleTimeout: settings.ConnIdle, Rest: answerRest}, budget)
 	opt := node.Options{Settings: settings, Seed: seed, MaxOpen: c.Settings.Caps.MaxOpen, BodyBytes: memory * 3 / 10,
 		Budget: budget, ProbePath: "/health/live", LoadReports: settings.Report != logic.ReportNone}
 	if settings.Report == logic.ReportProbes {
--- /dev/null
+++ b/internal/backend/crossings_test.go
@@ -0,0 +1,136 @@
+package backend
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"arrowhitch/internal/fakes"
+	"arrowhitch/logic"
+)
+
+// A backend sends an answer a second time, or noise, as the next request is on its way: it is no answer to that one.
+func TestSecondAnswerBehindTheNextRequest(t *testing.T) {
+	fakes.Leaks(t)
+	for name, extra := range map[string]string{"a second answer": "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n/1", "noise": "\x00\x01\x02"} {
+		b := fakes.NewPeer(t, func(c net.Conn, _ int) {
+			for r, n := bufio.NewReader(c), 0; ; n++ {
+				req, err := http.ReadRequest(r)
+				if err != nil {
+					return
+				}
+				if n > 0 { // it stands on the connection that carried the one before
+					io.WriteString(c, extra)
+				}
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(req.RequestURI), req.RequestURI)
+			}
+		})
+		p := newPool(t, Options{Rest: time.Hour}, 9)
+		up := p.Upstream(b.Addr, 0)
+		for _, path := range []string{"/1", "/2", "/3"} {
+			if r := do(up, get(path)); r.Result != logic.Served || string(r.Body) != path {
+				t.Errorf("%s: %s was answered %d %q", name, path, r.Result, r.Body)
+			}
+		}
+	}
+}
+
+// The connection that rested for long enough is the one to use, and the one used last of those.
+func TestRestedConnectionsAreUsed(t *testing.T) {
+	fakes.Leaks(t)
+	b := fakes.NewBackend(t, func(fakes.Seen, int) string { return ok })
+	p := newPool(t, Options{Rest: time.Hour}, 9)
+	up := p.Upstream(b.Addr, 0)
+	for range 3 {
+		do(up, get("/get"))
+	}
+	if n := b.Conns(); n != 3 {
+		t.Fatalf("%d connections", n)
+	}
+	p.mu.Lock()
+	second := up.idle[1]
+	for _, c := range up.idle[:2] {
+		c.since = c.since.Add(-time.Hour)
+	}
+	p.opt.IdleTimeout = 10 * time.Hour
+	p.mu.Unlock()
+	if c := up.reuse(time.Now().Add(fakes.Patience)); c != second {
+		t.Error("another one is used")
+	} else {
+		c.keep()
+	}
+	if n := len(up.idle); n != 3 || p.budget.Used() != 3 {
+		t.Errorf("%d are idle, %d descriptors held", n, p.budget.Used())
+	}
+}
+
+// A connection that is reused breaks at each point of the exchange. Only where the last byte was not written is it sure
+// that the request never ran.
+func TestReusedConnectionBreaks(t *testing.T) {
+	fakes.Leaks(t)
+	big := post(8 << 20) // more than what the sockets of both sides hold
+	for name, c := range map[string]struct {
+		r    *Request
+		text string // of the answer, before the connection breaks
+		read bool   // the request is read first
+		want logic.Result
+	}{
+		"as the request comes":     {big, "", false, logic.NotConnected},
+		"behind the last byte":     {get("/get"), "", true, logic.ConnLost},
+		"in the head":              {get("/get"), "HTTP/1.1 200 OK\r\nCont", true, logic.ConnLost},
+		"in the body":              {get("/get"), "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", true, logic.ConnLost},
+		"behind a body of its own": {post(100), "", true, logic.ConnLost},
+	} {
+		b := fakes.NewPeer(t, func(k net.Conn, _ int) {
+			r := bufio.NewReader(k)
+			http.ReadRequest(r)
+			io.WriteString(k, ok)
+			if c.read {
+				req, err := http.ReadRequest(r)
+				if err != nil {
+					return
+				}
+				io.Copy(io.Discard, req.Body)
+			} else {
+				r.Peek(1)
+			}
+			io.WriteString(k, c.text)
+			fakes.Reset(k)
+		})
+		up := newPool(t, Options{}, 9).Upstream(b.Addr, 0)
+		if r := do(up, get("/get")); r.Result != logic.Served {
+			t.Fatalf("%s: the first one: %d", name, r.Result)
+		}
+		if r := do(up, c.r); r.Result != c.want {
+			t.Errorf("%s: result %d, want %d", name, r.Result, c.want)
+		}
+		if n := b.Conns(); n != 1 {
+			t.Errorf("%s: %d connections", name, n)
+		}
+	}
+}
+
+// A backend closes an idle connection, and that has come by the time that the next request is sent: another one is opened.
+func TestClosedBeforeItIsReused(t *testing.T) {
+	fakes.Leaks(t)
+	b := fakes.NewPeer(t, func(c net.Conn, _ int) {
+		http.ReadRequest(bufio.NewReader(c))
+		io.WriteString(c, ok)
+	})
+	up := newPool(t, Options{}, 9).Upstream(b.Addr, 0)
+	for i := range 3 {
+		if r := do(up, get("/get")); r.Result != logic.Served {
+			t.Errorf("request %d: %d", i, r.Result)
+		}
+		up.pool.mu.Lock()
+		idle := append([]*conn(nil), up.idle...)
+		up.pool.mu.Unlock()
+		for _, c := range idle {
+			fakes.Eventually(t, "its end", func() bool { return !c.quiet() })
+		}
+	}
+}
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -22,6 +23,9 @@
 type Options struct {
 	ConnectTimeout time.Duration // a connection that is not up by then never was
 	IdleTimeout    time.Duration
+	// Rest is how long a connection is left alone behind an answer before it carries another request. What a backend sends
+	// unasked some milliseconds late would pass for the answer to that one: HTTP/1.1 cannot tell. 0: not at all.
+	Rest time.Duration
 	// Answers tells which statuses are answers to pass on; others are failures of the backend, whose short answers
 	// come with the Reply as well. nil: 200 alone, and nothing of a failure's answer is kept.
 	Answers func(status int) bool
@@ -199,14 +203,16 @@
 	p := u.pool
 	for {
 		p.mu.Lock()
-		n := len(u.idle)
-		if n == 0 {
+		i := len(u.idle) - 1
+		for i >= 0 && p.opt.Rest > 0 && time.Since(u.idle[i].since) < p.opt.Rest {
+			i--
+		}
+		if i < 0 {
 			p.mu.Unlock()
 			return nil
 		}
-		c := u.idle[n-1]
-		u.idle[n-1] = nil
-		u.idle = u.idle[:n-1]
+		c := u.idle[i]
+		u.idle = slices.Delete(u.idle, i, i+1)
 		p.mu.Unlock()
 		if time.Since(c.since) < p.idleFor() && c.SetDeadline(deadline) == nil && c.quiet() {
 			return c
--- a/internal/node/crossings_test.go
+++ b/internal/node/crossings_test.go
@@ -339,4 +339,3 @@
 		}
 	}
 }
-
--- a/internal/node/over_test.go
+++ b/internal/node/over_test.go
@@ -148,3 +148,47 @@
 		}
 	}
 }
+
+// A backend comes back under its id, at another address or newly started, while an attempt to the old one is out: that one
+// ends as it would have, new ones go to the new one, and each is counted once.
+func TestBackUnderItsID(t *testing.T) {
+	fakes.Leaks(t)
+	came, goOn := make(chan string, 9), make(chan struct{})
+	backendOf := func(name string, held bool) *fakes.Backend {
+		return fakes.NewBackend(t, func(fakes.Seen, int) string {
+			if came <- name; held {
+				<-goOn
+			}
+			return ok
+		})
+	}
+	old, next := backendOf("old", true), backendOf("new", false)
+	w := start(t, nil, old.Addr)
+	first, second := w.dial(t), w.dial(t)
+	first.send(head("GET", "get"))
+	if name := fakes.Within(t, "the request", came); name != "old" {
+		t.Fatal(name)
+	}
+	inFlight := func() (n int) {
+		w.Endpoints(func(_ string, k int, _ bool) { n += k })
+		return n
+	}
+	w.list(next.Addr)
+	if n := inFlight(); n != 1 {
+		t.Errorf("%d in flight", n)
+	}
+	second.send(head("GET", "get"))
+	if name := fakes.Within(t, "the next request", came); name != "new" {
+		t.Errorf("sent to the %s one", name)
+	}
+	second.answer(t)
+	close(goOn)
+	if code, _, _ := first.answer(t); code != 200 {
+		t.Errorf("%d", code)
+	}
+	fakes.Eventually(t, "all to be over", func() bool { return w.held() == 0 })
+	if n := inFlight(); n != 0 {
+		t.Errorf("%d in flight at the end", n)
+	}
+	fakes.Eventually(t, "the old one's connections to be gone", func() bool { return w.budget.Used() == 3 })
+}
