--- a/cmd/arrowhitch/signals_test.go
+++ b/cmd/arrowhitch/signals_test.go
@@ -132,7 +132,7 @@
 // during the shutdown too, and what the new one tells of a drain counts.
 func TestSignalsTogether(t *testing.T) {
 	bin := build(t)
-	came, goOn := make(chan string, 9), make(chan struct{})
+	came, goOn := make(chan string, 99), make(chan struct{})
 	answer := func(name string) func(fakes.Seen, int) string {
 		return func(fakes.Seen, int) string {
 			came <- name
@@ -162,7 +162,13 @@
 	if name := fakes.Within(t, "the request", came); name != "a" {
 		t.Errorf("sent to %s", name)
 	}
-	late := p.connect(t)
+	// Requests that have begun to come keep their connections.
+	var late []net.Conn
+	for i := range 12 {
+		k := p.connect(t)
+		io.WriteString(k, fmt.Sprintf("GET /get/x HTTP/1.1\r\nHost: x\r\nX-Qos: get\r\nX-Trace-Id: late%d\r\n", i))
+		late = append(late, k)
+	}
 	p.write(t, at(second)(p.listen))
 	p.Process.Signal(syscall.SIGTERM)
 	fakes.Eventually(t, "the shutdown", func() bool { // it is not ready any more
@@ -178,15 +184,25 @@
 	if name := fakes.Within(t, "a call at the new address", calls); name != "second" {
 		t.Errorf("called %s", name)
 	}
-	io.WriteString(late, request("2"))
-	// The list has been written to the node; it may take it some time to read it, and none to learn of a second's grace.
-	if name := fakes.Within(t, "the late request", came); name != "b" && name != "a" {
-		t.Errorf("sent to %s", name)
+	// The list has been written to the node, which may need a moment to read it: from the first request on that goes by it, all do.
+	read := false
+	for _, k := range late {
+		io.WriteString(k, "\r\n")
+		name := fakes.Within(t, "a late request", came)
+		if read && name != "b" {
+			t.Errorf("sent to %s, which drains", name)
+		}
+		if read = read || name == "b"; !read {
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	if !read {
+		t.Error("the new list is not followed")
 	}
 	close(goOn)
-	for name, c := range map[string]net.Conn{"in hand": c, "late": late} {
+	for i, c := range append(late, c) {
 		if code := status(t, c); code != http.StatusOK {
-			t.Errorf("%s: %d", name, code)
+			t.Errorf("request %d: %d", i, code)
 		}
 	}
 	p.ends(t)
--- a/logic/list_test.go
+++ b/logic/list_test.go
@@ -212,3 +212,26 @@
 		}
 	})
 }
+
+// However often a call for the list fails, it is asked for again, and soon.
+func TestListIsAskedForHoweverOftenThatFails(t *testing.T) {
+	s := settings()
+	s.Ask, s.MustAskIn = true, 10*time.Second
+	b, h := start(t, s, nil)
+	for i := range 300 {
+		at, ok := h.timers[asksSeq]
+		if !ok || at-h.now > s.MustAskIn/4 {
+			t.Fatalf("call %d: due in %v, %v", i, at-h.now, ok)
+		}
+		h.now = at
+		delete(h.timers, asksSeq)
+		b.Timer(h.now, asksSeq)
+		if a := h.take(); len(a) != 1 || a[0].what != "watch" {
+			t.Fatalf("call %d: %v", i, a)
+		}
+		if i == 150 { // it worked once, and its watch broke
+			b.Fleet(h.now, FleetUpdate{Kind: FleetAll, Servers: fleet(2)})
+		}
+		b.Fleet(h.now, FleetUpdate{Kind: FleetRefused})
+	}
+}
