logic, discovery: the list is asked for in turn and at one pace

Where discovery is asked it works on calls in turn, also on those that it has failed by then; nodes that called again soon after a failure kept its queue longer than a call may wait, for good. A watch that hung, or said half a line, was waited for alone. At fault: Balancer.Fleet (FleetRefused) and ask, which drew each call anew; Client.watch and its `slow`. Change: first calls over 5 s by the node's number, behind a watch that ended within 1.5 s, behind a failed call 4.75 to 5 s after its begin. A call that says nothing for 3.5 s goes on beside the next one; the first to tell something is followed.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -15,7 +15,6 @@
 	"net/http"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"arrowhitch/logic"
@@ -26,7 +25,8 @@
 	dialTime    = time.Second
 
 	// Between two lines of a watch there is an empty one every 2 s, and what a silent one misses counts as told 6 s after
-	// its last. Half as much again as a line's time, and there is room to ask anew and to be turned away once.
+	// its last, as does what a call misses that is not answered. Half as much again as a line's time, and there is room to
+	// ask anew, and for that call to wait for 2 s.
 	silence = 3500 * time.Millisecond
 	// An agent on the node's own machine answers at once, and what it has counts as told whether or not it was asked:
 	// nothing between two calls may take as long as sends to a draining server may go on, a second.
@@ -107,10 +107,9 @@
 	all     sync.WaitGroup
 
 	callTime   time.Duration // for all of a list
-	firstTime  time.Duration // until a watch is answered
+	firstTime  time.Duration // until a pushed list's watch is answered, or a watch that was asked for has told its first line
 	silence    time.Duration // longer than this between two lines, and a watch is dead
 	retryFirst time.Duration // before a pushed list is watched again; longer each time
-	slow       atomic.Bool   // the last watch was not answered in time: the next one is given twice as long
 
 	order sync.Mutex // updates leave one after the other, also those of calls side by side
 	rev   uint64
@@ -120,8 +119,17 @@
 	base  string
 	here  context.Context // ends with the address
 	leave context.CancelFunc
-	close context.CancelFunc // ends the watch that is on
-	moved chan struct{}      // a pushed list is to be watched elsewhere
+	on    *attempt      // the watch that was asked for last, nil once it has ended
+	late  *attempt      // the one before it, if that is overdue and may yet be answered
+	moved chan struct{} // a pushed list is to be watched elsewhere
+}
+
+// attempt is one call for a watch. Its fields are the Client's, under mu.
+type attempt struct {
+	cancel  context.CancelFunc
+	overdue bool          // it was told as refused
+	spoke   chan struct{} // closed with its first line
+	heard   time.Time     // its last line; zero: none
 }
 
 // New makes a client; known is the list that the node had, delivered as remembered when Start is called.
@@ -153,10 +161,9 @@
 	c.base, c.has = base(addr), false
 	c.leave()
 	c.here, c.leave = context.WithCancel(c.life)
-	c.close = nil
+	c.on, c.late = nil, nil
 	c.mu.Unlock()
 	c.order.Unlock()
-	c.slow.Store(false)
 	if c.pushed {
 		select {
 		case c.moved <- struct{}{}:
@@ -198,7 +205,7 @@
 		c.mu.Lock()
 		here := c.here
 		c.mu.Unlock()
-		if c.watch(here) {
+		if c.watch(here, nil) {
 			wait = c.retryFirst
 		}
 		select {
@@ -212,29 +219,101 @@
 	}
 }
 
-// Watch begins a watch, in place of one that is on, or ends it.
+// Watch begins a watch, in place of one that is on, or ends it. One that is overdue goes on beside the new one until
+// either has told something: a service with a queue may yet answer it, and one that hung may not.
 func (c *Client) Watch(on bool) {
 	if c.pushed {
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.close != nil {
-		c.close()
-		c.close = nil
+	if on && c.on != nil && c.on.overdue && !c.on.heard.IsZero() { // answered after all
+		return
+	}
+	old := c.on
+	if c.on = nil; old != nil && (!on || !old.overdue) {
+		old.cancel()
+		old = nil
+	}
+	if old != nil || !on {
+		if c.late != nil {
+			c.late.cancel()
+		}
+		c.late = old
 	}
 	if !on || c.life.Err() != nil {
 		return
 	}
 	ctx, cancel := context.WithCancel(c.here)
-	c.close = cancel
+	a := &attempt{cancel: cancel, spoke: make(chan struct{})}
+	c.on = a
+	c.all.Go(func() { c.overdue(ctx, a) })
 	c.all.Go(func() {
 		defer cancel()
-		c.watch(ctx)
-		c.refused(ctx)
+		c.watch(ctx, a)
+		c.over(ctx, a)
 	})
 }
 
+// overdue tells that a watch has said nothing for too long, and leaves it on.
+func (c *Client) overdue(ctx context.Context, a *attempt) {
+	t := time.NewTimer(c.firstTime)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return
+	case <-a.spoke:
+		return
+	case <-t.C:
+	}
+	c.mu.Lock()
+	a.overdue = a.heard.IsZero()
+	tell := a.overdue
+	c.mu.Unlock()
+	if tell {
+		c.refused(ctx, 0)
+	}
+}
+
+// heard notes a line of a watch. The first one ends the other watch, if there are two.
+func (c *Client) heard(a *attempt) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if a.heard.IsZero() {
+		close(a.spoke)
+		switch {
+		case c.late == a && c.on != nil:
+			c.on.cancel()
+			fallthrough
+		case c.late == a:
+			c.on, c.late = a, nil
+		case c.late != nil:
+			c.late.cancel()
+			c.late = nil
+		}
+	}
+	a.heard = time.Now()
+}
+
+// over tells that a watch has ended, unless that was told already or it was ended from here.
+func (c *Client) over(ctx context.Context, a *attempt) {
+	c.mu.Lock()
+	if c.on == a {
+		c.on = nil
+	}
+	if c.late == a {
+		c.late = nil
+	}
+	tell, silent := !a.overdue || !a.heard.IsZero(), time.Duration(0)
+	if !a.heard.IsZero() {
+		silent = time.Since(a.heard)
+	}
+	c.mu.Unlock()
+	if tell {
+		c.refused(ctx, silent)
+	}
+}
+
 // Fetch asks for the whole list once.
 func (c *Client) Fetch() {
 	if c.life.Err() != nil {
@@ -247,17 +326,17 @@
 		ctx, cancel := context.WithTimeout(here, c.callTime)
 		defer cancel()
 		if c.fetch(ctx) != nil {
-			c.refused(here)
+			c.refused(here, 0)
 		}
 	})
 }
 
-// refused tells that a call failed or a watch ended, unless it was ended from here.
-func (c *Client) refused(ctx context.Context) {
+// refused tells that a call failed or a watch ended that was silent for so long, unless it was ended from here.
+func (c *Client) refused(ctx context.Context, silent time.Duration) {
 	c.order.Lock()
 	defer c.order.Unlock()
 	if ctx.Err() == nil {
-		c.deliver(Update{FleetUpdate: logic.FleetUpdate{Kind: logic.FleetRefused}})
+		c.deliver(Update{FleetUpdate: logic.FleetUpdate{Kind: logic.FleetRefused, Silent: silent}})
 	}
 }
 
@@ -339,19 +418,17 @@
 	return version{rev, true}, nil
 }
 
-func (c *Client) watch(parent context.Context) (got bool) {
+// watch reads a watch to its end and tells whether a list came. a is nil where lists are pushed.
+func (c *Client) watch(parent context.Context, a *attempt) (got bool) {
 	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
 	// Danger: a machine that is cut off says nothing. Without the empty lines the watch is dead, and bytes that make no
 	// line are no sign of life either.
 	first := c.firstTime
-	if c.slow.Load() && !c.pushed { // a service with a queue, which calls given up early make longer
+	if a != nil { // overdue by then, and given as long again beside the next call
 		first *= 2
 	}
-	alive := time.AfterFunc(first, func() {
-		c.slow.Store(true)
-		cancel()
-	})
+	alive := time.AfterFunc(first, cancel)
 	defer func() { alive.Stop() }()
 	lasts := func(d time.Duration) bool {
 		if !alive.Stop() {
@@ -365,8 +442,7 @@
 		return false
 	}
 	defer resp.Body.Close()
-	c.slow.Store(false)
-	if !lasts(c.silence) {
+	if a == nil && !lasts(c.silence) { // where it is asked for, the head alone is no life: half an answer is none
 		return false
 	}
 	r := bufio.NewReaderSize(resp.Body, 4<<10)
@@ -387,6 +463,9 @@
 		if !lasts(c.silence) {
 			return got
 		}
+		if a != nil {
+			c.heard(a)
+		}
 		if text := bytes.TrimSpace(line); len(text) > 0 {
 			if known, err = c.take(parent, text, known); err != nil {
 				return got
--- a/logic/api.go
+++ b/logic/api.go
@@ -160,6 +160,9 @@
 type FleetUpdate struct {
 	Kind    FleetKind
 	Servers []Server
+	// Silent is FleetRefused's alone: for how long a watch that broke had told nothing by then, 0 where a call failed. The
+	// next call is due so much sooner.
+	Silent time.Duration
 }
 
 // Request is a client's request that this proxy has taken and owes one final answer.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -27,11 +27,13 @@
 	table                  []float64     // running sums of the weights of ready
 	fresh                  time.Duration // the table's age
 	dirty, asking, looking bool
-	pulling                bool // what waited is being started
+	calling, broke         bool          // the list was asked for, and nothing has come of it yet; for the first time since its watch broke
+	called                 time.Duration // when that was
+	pulling                bool          // what waited is being started
 	requests               map[string]*request
 	bySeq                  map[uint64]*request // those without their final answer, by timer token
 	seq                    uint64
-	out, stuck, refusals   int     // attempts out, those at ejected servers; failed calls in a row
+	out, stuck             int     // attempts out, those at ejected servers
 	budget                 float64 // further attempts that may be made
 	places                 map[string]int
 	zones                  map[string]*stat // loss of attempts in each zone
@@ -65,6 +67,10 @@
 	longestHold = 2500 * time.Millisecond // of a request that has nowhere to go, however long its client would wait
 )
 
+// LongestAsk is the longest from one call for the list to the next while none succeeds. What the list has to tell counts as
+// told 6 s after it can be reached, whatever failed before: the rest of that is for the queue there.
+const LongestAsk = 5 * time.Second
+
 // New makes the balancer of one proxy.
 func New(s Settings, seed uint64, host Host) (*Balancer, error) {
 	if err := s.check(); err != nil {
@@ -96,8 +102,21 @@
 // Fleet takes news of the list: new servers start at zero, departed ones are dropped.
 func (b *Balancer) Fleet(now time.Duration, u FleetUpdate) {
 	if u.Kind == FleetRefused { // the list is overloaded or away: come back later, and not all at once
-		b.refusals = min(b.refusals+1, 4)
-		b.ask(b.set.MustAskIn / 64 << b.refusals)
+		span := b.askSpan()
+		switch {
+		case !b.calling: // a watch broke, and may have been ended in place of telling a change
+			b.broke = true
+			b.ask(b.turn(min(span*3/10, span-u.Silent)))
+		// Danger: a service with a queue works on calls that it has failed, too. Proxies that call again soon after they fail
+		// keep the queue longer than a call may wait, for good. They are spread once, and keep their places at one pace.
+		case b.broke:
+			b.broke = false
+			b.ask(b.called + span*2/5 + b.turn(span*3/5) - now)
+		default:
+			// Danger: at a pace that varies much calls come in bunches, and a service that is all but busy fails them by dozens.
+			b.ask(b.called + span - time.Duration(b.rng.Float64()*float64(span/20)) - now)
+		}
+		b.calling = false
 		return
 	}
 	b.dirty = true
@@ -158,10 +177,11 @@
 	b.pull(now)
 	if u.Kind == FleetRemembered {
 		if b.set.Ask {
-			b.ask(b.set.MustAskIn / 4)
+			// Danger: over less, proxies that start together wait longer than a call may, and each call that failed is one more.
+			b.ask(b.turn(b.askSpan()))
 		}
 	} else {
-		b.refusals = 0
+		b.asking, b.calling, b.broke = false, false, false
 	}
 }
 
@@ -217,11 +237,25 @@
 	}
 }
 
-func (b *Balancer) ask(within time.Duration) {
+func (b *Balancer) ask(after time.Duration) {
 	if b.set.Ask && !b.asking {
 		b.asking = true
-		b.host.SetTimer(asksSeq, time.Duration(b.rng.Float64()*float64(within)))
+		b.host.SetTimer(asksSeq, max(after, 0))
+	}
+}
+
+// askSpan is the time over which all proxies ask for the list, and within which each asks again.
+func (b *Balancer) askSpan() time.Duration {
+	if m := b.set.MustAskIn / 2; m > 0 && m < LongestAsk {
+		return m
 	}
+	return LongestAsk
+}
+
+// turn is this proxy's part of a span that all take for one call each: spread evenly, whichever of them call.
+func (b *Balancer) turn(span time.Duration) time.Duration {
+	_, place := math.Modf(math.Phi*float64(max(b.set.Me, 0)) + b.rng.Float64()/float64(max(b.set.Proxies, 1)))
+	return time.Duration(place * float64(max(span, 0)))
 }
 
 // refresh weighs the ready servers anew.
@@ -846,8 +880,10 @@
 // Timer takes a timer that has run out.
 func (b *Balancer) Timer(now time.Duration, token uint64) {
 	if token == asksSeq {
-		b.asking = false
-		b.host.Watch(true)
+		if b.asking { // else it has come meanwhile
+			b.asking, b.calling, b.called = false, true, now
+			b.host.Watch(true)
+		}
 		return
 	}
 	if token == looksSeq {
