node, backend: no attempt begins for a client that has left, read or not

At fault: Attempt.connect, which asked only whether it had been called off. Change: Request.Wanted is asked right before an attempt connects and before it writes; it looks at the socket. An attempt that nobody wants ends with nothing written, and its request is abandoned before the module could make another one. A connection that was not used goes back as old as it was. Measured: TestGoneIsGone (4 places, 3 ways to leave) and TestManyGoneAtOnce (500 at once, from four places) fail without the look and pass with it under -race; TestUnusedConnectionsStayOld fails with keep in place of putBack.

--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -45,6 +45,9 @@
 	Host   string
 	Header http.Header
 	Body   Body
+	// Wanted is asked right before an attempt connects, and before it writes the request: does anybody still wait for the
+	// answer? It may be called by several goroutines at once, and must not wait. nil: somebody does.
+	Wanted func() bool
 }
 
 // Reply is how an attempt ended.
@@ -55,6 +58,7 @@
 	Body     []byte
 	Length   int64 // of the body that an answer to HEAD stands for; -1: not said
 	Streamed bool
+	Unwanted bool          // nothing was written, as nobody waits for the answer any more
 	Rest     time.Duration // what a 503's Retry-After asks for; 0: nothing
 	First    time.Time     // when a streamed answer's first bytes came
 	Load     string
@@ -159,6 +163,8 @@
 	if err != nil {
 		var timeout interface{ Timeout() bool }
 		switch {
+		case errors.Is(err, errUnwanted):
+			return Reply{Result: logic.NotSent, Unwanted: true}
 		case a.isCancelled():
 			return Reply{Result: logic.Cancelled}
 		case a.isVoid():
@@ -186,6 +192,12 @@
 		return nil, context.Canceled
 	}
 	c := a.up.reuse(a.deadline)
+	if !a.wanted() {
+		if c != nil {
+			c.putBack()
+		}
+		return nil, errUnwanted
+	}
 	if c == nil {
 		ctx, stop := context.WithCancel(context.Background())
 		defer stop()
@@ -199,6 +211,11 @@
 		if c, err = a.up.dial(ctx, a.deadline); err != nil {
 			return nil, err
 		}
+		// Danger: a connection may be long in coming up, and whoever reads from the client may be as late to see its end.
+		if !a.wanted() {
+			c.keep()
+			return nil, errUnwanted
+		}
 	}
 	if !a.take(c) {
 		c.drop()
@@ -213,6 +230,8 @@
 	return c, nil
 }
 
+func (a *Attempt) wanted() bool { return a.req.Wanted == nil || a.req.Wanted() }
+
 var heads = sync.Pool{New: func() any { b := make([]byte, 0, 4<<10); return &b }}
 
 func (a *Attempt) write(c *conn) error {
--- a/internal/backend/crossings_test.go
+++ b/internal/backend/crossings_test.go
@@ -68,6 +68,49 @@
 	}
 }
 
+// A connection that an attempt took and did not use, as its client had left, is as old to the backend as before, and in its place
+// among the others. Danger: one that counted as used just now would be used again beyond the backend's idle time.
+func TestUnusedConnectionsStayOld(t *testing.T) {
+	fakes.Leaks(t)
+	b := fakes.NewBackend(t, func(fakes.Seen, int) string { return ok })
+	p := newPool(t, Options{Rest: time.Hour}, 9)
+	up := p.Upstream(b.Addr, 0)
+	for range 2 {
+		do(up, get("/get"))
+	}
+	if n := b.Conns(); n != 2 {
+		t.Fatalf("%d connections", n)
+	}
+	p.mu.Lock()
+	p.opt.Rest = 0
+	older, newer := up.idle[0], up.idle[1]
+	older.since, newer.since = older.since.Add(-30*time.Minute), newer.since.Add(-20*time.Minute)
+	was := newer.since
+	p.mu.Unlock()
+	r := get("/left")
+	r.Wanted = func() bool { return false }
+	if got := do(up, r); !got.Unwanted || got.Result != logic.NotSent {
+		t.Errorf("result %d, unwanted %t", got.Result, got.Unwanted)
+	}
+	p.mu.Lock()
+	if len(up.idle) != 2 || up.idle[1] != newer || !newer.since.Equal(was) {
+		t.Errorf("%d are idle, the one not used for %v", len(up.idle), time.Since(newer.since))
+	}
+	p.mu.Unlock()
+	first, second := up.reuse(time.Now().Add(fakes.Patience)), up.reuse(time.Now().Add(fakes.Patience))
+	if first != newer || second != older {
+		t.Fatal("others are used")
+	}
+	first.putBack()
+	second.putBack()
+	if up.idle[0] != older || up.idle[1] != newer {
+		t.Error("the one used last is not at the end")
+	}
+	if n := b.Conns(); n != 2 || p.budget.Used() != 2 {
+		t.Errorf("%d connections, %d descriptors held", n, p.budget.Used())
+	}
+}
+
 // A connection that is reused breaks at each point of the exchange. Only where the last byte was not written is it sure
 // that the request never ran.
 func TestReusedConnectionBreaks(t *testing.T) {
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -66,7 +66,7 @@
 	pool  *Pool
 	addr  string
 	since time.Duration
-	idle  []*conn // the one used last is at the end
+	idle  []*conn // by since: the one used last is at the end
 	gone  bool
 	// closed: it has left the list or is draining, and nothing new goes there.
 	closed atomic.Bool
@@ -77,7 +77,7 @@
 	*net.TCPConn
 	br    *bufio.Reader
 	left  int64
-	since time.Time
+	since time.Time // when it was used last
 	up    *Upstream
 
 	attempt *Attempt
@@ -243,12 +243,21 @@
 // keep puts the connection in the pool, or closes it where there is none to go back to. Danger: one that did
 // neither would hold its descriptor, and a place at the backend, for good.
 func (c *conn) keep() {
-	u, p := c.up, c.up.pool
 	c.since = time.Now()
+	c.putBack()
+}
+
+// putBack is keep for a connection that was not used: to the backend it has been idle for as long as before.
+func (c *conn) putBack() {
+	u, p := c.up, c.up.pool
 	p.mu.Lock()
 	kept := !u.gone && !p.closed
 	if kept {
-		u.idle = append(u.idle, c)
+		at := len(u.idle)
+		for at > 0 && u.idle[at-1].since.After(c.since) {
+			at--
+		}
+		u.idle = slices.Insert(u.idle, at, c)
 		if !p.sweeping {
 			p.sweeping = true
 			time.AfterFunc(p.sweepEvery(), p.sweep)
@@ -305,6 +314,7 @@
 var (
 	errNoDescriptor = errors.New("no descriptor is left for a connection")
 	errNoAddress    = errors.New("the backend is not on the list")
+	errUnwanted     = errors.New("nobody waits for the answer any more")
 )
 
 // local tells whether a dial failed for want of something of this node's. Danger: taken for a backend that does
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -410,6 +410,9 @@
 			return r.Client.Begin(status, h, length)
 		})
 	}
+	if reply.Unwanted { // before the module is told how the attempt ended, or it would make another one
+		n.Abandon(r)
+	}
 	o := logic.Outcome{ID: r.id, Attempt: i, Result: reply.Result, Took: time.Since(sent)}
 	if n.opt.LoadReports {
 		o.Load = backend.ParseLoad(reply.Load)
--- /dev/null
+++ b/internal/node/gone_test.go
@@ -0,0 +1,270 @@
+package node
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+
+	"arrowhitch/internal/backend"
+	"arrowhitch/internal/fakes"
+)
+
+// holdReaders has nothing more read from the clients there are until it is ended: as on a node so busy that the goroutines
+// that would see them leave wait behind all others.
+func (w *world) holdReaders(t *testing.T) (end func()) {
+	held := w.conns.list()
+	for _, k := range held {
+		k.reading.Lock()
+	}
+	end = sync.OnceFunc(func() {
+		for _, k := range held {
+			k.reading.Unlock()
+		}
+	})
+	t.Cleanup(end)
+	return end
+}
+
+var leaves = map[string]func(net.Conn){
+	"closed":      func(c net.Conn) { c.Close() },
+	"reset":       fakes.Reset,
+	"half closed": func(c net.Conn) { c.(*net.TCPConn).CloseWrite() },
+}
+
+// A client leaves, and nobody has read its end yet: wherever its request stands, no attempt begins any more, first or further.
+func TestGoneIsGone(t *testing.T) {
+	turnedAway := "HTTP/1.1 503 Full\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n"
+	// Each gives a world in which the client's request stands somewhere, and what has it go on from there.
+	places := map[string]func(t *testing.T, came chan string) (w *world, c *peer, goOn func()){
+		"held by the module": func(t *testing.T, came chan string) (*world, *peer, func()) {
+			w := start(t, nil) // no list yet
+			b := fakes.NewPeer(t, wholes(came))
+			c := w.dial(t)
+			c.send(head("GET", "get"))
+			fakes.Eventually(t, "the request", func() bool { return w.held() == 1 })
+			return w, c, func() { w.list(b.Addr) }
+		},
+		"between an outcome and its retry": func(t *testing.T, came chan string) (*world, *peer, func()) {
+			first, goOn := make(chan struct{}, 1), make(chan struct{})
+			b := fakes.NewBackend(t, func(s fakes.Seen, n int) string {
+				if n == 0 {
+					first <- struct{}{}
+					<-goOn
+					return turnedAway
+				}
+				came <- s.RequestURI
+				return ok
+			})
+			w := start(t, nil, b.Addr, b.Addr)
+			c := w.dial(t)
+			c.send(head("GET", "get"))
+			fakes.Within(t, "the first attempt", first)
+			return w, c, func() { close(goOn) }
+		},
+		"between a hedge's timer and its send": func(t *testing.T, came chan string) (*world, *peer, func()) {
+			first := make(chan struct{}, 1)
+			b := fakes.NewPeer(t, func(c net.Conn, n int) {
+				if n > 0 {
+					wholes(came)(c, n)
+					return
+				}
+				c.Read(make([]byte, 4<<10))
+				first <- struct{}{}
+				io.Copy(io.Discard, c)
+			})
+			w := start(t, func(o *Options) { o.Settings.ParallelTries = true }, b.Addr, b.Addr)
+			c := w.dial(t)
+			c.send(head("GET", "get", "X-Trace-Id: q"))
+			fakes.Within(t, "the first attempt", first)
+			return w, c, func() {
+				w.mu.Lock()
+				defer w.mu.Unlock()
+				(*host)(w.Core).Send("q", "s1", 0)
+			}
+		},
+		"in a dial": func(t *testing.T, came chan string) (*world, *peer, func()) {
+			l := fakes.NewLate(t, wholes(came))
+			w := start(t, nil, l.Addr)
+			c := w.dial(t)
+			c.send(head("GET", "get"))
+			fakes.Eventually(t, "the attempt", func() bool { return w.Stats().Sends == 1 })
+			return w, c, l.Open
+		},
+	}
+	for place, at := range places {
+		for how, leave := range leaves {
+			t.Run(place+", "+how, func(t *testing.T) {
+				fakes.Leaks(t)
+				came := make(chan string, 9)
+				w, c, goOn := at(t, came)
+				read := w.holdReaders(t)
+				leave(c.Conn)
+				goOn()
+				fakes.Eventually(t, "its end to be seen", func() bool { return w.Stats().Left == 1 })
+				read()
+				fakes.Eventually(t, "all to be over", func() bool { return w.held() == 0 && w.Conns() == 0 })
+				if len(came) != 0 {
+					t.Errorf("sent on: %q", <-came)
+				}
+				if s := w.Stats(); s.Refused+s.Served+s.Failed != 0 {
+					t.Errorf("%+v", s)
+				}
+			})
+		}
+	}
+}
+
+// Half a body is here, and its client leaves: nothing of it is sent on.
+func TestGoneInTheBody(t *testing.T) {
+	for how, leave := range leaves {
+		t.Run(how, func(t *testing.T) {
+			fakes.Leaks(t)
+			came := make(chan string, 9)
+			b := fakes.NewPeer(t, wholes(came))
+			w := start(t, nil, b.Addr)
+			c := w.dial(t)
+			c.send(head("POST", "put", "Idempotency-Key: k", "Content-Length: 4") + "bo")
+			fakes.Eventually(t, "the body's begin to be read", func() bool {
+				l := w.conns.list()
+				if len(l) == 0 {
+					return false
+				}
+				waits, _ := l[0].look()
+				return !waits && l[0].served.Load()
+			})
+			leave(c.Conn)
+			fakes.Eventually(t, "its end to be seen", func() bool { return w.Conns() == 0 })
+			if s := w.Stats(); s.Taken != 0 || len(came) != 0 {
+				t.Errorf("%d taken, %d sent on", s.Taken, len(came))
+			}
+		})
+	}
+}
+
+// stands tells that a request was read from the client and its last look at the client is over, so that all that is left is to hand it
+// to the module. Danger: served alone is set before that look, and who leaves in between is turned away without the module.
+func stands(k *client) bool {
+	k.reading.Lock()
+	defer k.reading.Unlock()
+	return k.served.Load() && !k.begun
+}
+
+// 500 clients leave at once, and nobody has read their ends as their requests go on from where they stand: none of theirs is sent
+// on, and one that is still there is served.
+func TestManyGoneAtOnce(t *testing.T) {
+	const many = 500
+	// Each gives where the requests stand, as gone sends them: before they are sent, and what has them go on.
+	type place struct {
+		w      *world
+		before func(all []*peer)
+		stand  func() bool // they all stand there
+		goOn   func()
+	}
+	shape := func(o *Options) { o.Budget = backend.NewBudget(4 * many) }
+	places := map[string]func(t *testing.T, script func(net.Conn, int)) place{
+		"held by the module": func(t *testing.T, script func(net.Conn, int)) place {
+			w := start(t, shape) // no list yet
+			b := fakes.NewPeer(t, script)
+			return place{w, nil, func() bool { return w.held() == many }, func() { w.list(b.Addr) }}
+		},
+		"unread in their sockets": func(t *testing.T, script func(net.Conn, int)) place {
+			w := start(t, shape, fakes.NewPeer(t, script).Addr)
+			var read func()
+			return place{w, func([]*peer) {
+				fakes.Eventually(t, "them", func() bool { return w.Conns() == many })
+				read = w.holdReaders(t)
+			}, func() bool {
+				for _, k := range w.conns.list() {
+					if waits, _ := k.look(); !waits {
+						return false
+					}
+				}
+				return true
+			}, func() { read() }}
+		},
+		"read, before the module has them": func(t *testing.T, script func(net.Conn, int)) place {
+			w := start(t, shape, fakes.NewPeer(t, script).Addr)
+			unlock := sync.OnceFunc(w.mu.Unlock)
+			return place{w, func([]*peer) {
+				w.mu.Lock()
+				t.Cleanup(unlock)
+			}, func() bool {
+				l := w.conns.list()
+				for _, k := range l {
+					if !stands(k) {
+						return false
+					}
+				}
+				return len(l) == many
+			}, unlock}
+		},
+		"in their dials": func(t *testing.T, script func(net.Conn, int)) place {
+			l := fakes.NewLate(t, script)
+			w := start(t, shape, slices.Repeat([]string{l.Addr}, 60)...)
+			// The module sends no more than some 60 to servers that have answered nothing yet; it refuses the others.
+			// A retry is a send too: that all are there is told by what was taken.
+			return place{w, nil, func() bool {
+				s := w.Stats()
+				return s.Taken == many && s.Sends+s.Refused >= many && s.Sends >= 40
+			}, l.Open}
+		},
+	}
+	for name, at := range places {
+		t.Run(name, func(t *testing.T) {
+			fakes.Leaks(t)
+			sent := map[string]int{}
+			came := make(chan string, 2*many)
+			p := at(t, wholes(came))
+			w := p.w
+			var all []*peer
+			for range many {
+				all = append(all, w.dial(t))
+			}
+			if p.before != nil {
+				p.before(all)
+			}
+			for i, c := range all {
+				c.send(head("GET", "get", fmt.Sprint("X-Trace-Id: gone", i)))
+			}
+			fakes.Eventually(t, "them to stand there", p.stand)
+			read := func() {}
+			if name != "unread in their sockets" {
+				read = w.holdReaders(t)
+			}
+			for _, c := range all {
+				c.Close()
+			}
+			p.goOn()
+			if name == "in their dials" { // the kernel has them come up in the course of seconds: some before this, the rest behind it
+				fakes.Eventually(t, "an end to be seen", func() bool { return w.Stats().Left > 0 })
+				read()
+			}
+			for code, i := 0, 0; code != 200; i++ { // the module may refuse some, as it has served nothing yet
+				c := w.dial(t)
+				c.send(head("GET", "get", fmt.Sprint("X-Trace-Id: there", i)))
+				code, _, _ = c.answer(t)
+				c.Close()
+			}
+			if name != "unread in their sockets" {
+				fakes.Eventually(t, "their end", func() bool { s := w.Stats(); return s.Left+s.Refused >= many })
+			}
+			read()
+			fakes.Eventually(t, "all to be over", func() bool { return w.held() == 0 && w.Conns() == 0 })
+			for len(came) > 0 {
+				_, id, _ := strings.Cut(<-came, "X-Trace-Id: ")
+				id, _, _ = strings.Cut(id, "\r\n")
+				sent[strings.TrimRight(id, "0123456789")]++
+			}
+			if sent["gone"] != 0 || sent["there"] == 0 {
+				t.Errorf("sent on %v", sent)
+			}
+			if s := w.Stats(); s.Served != uint64(sent["there"]) {
+				t.Errorf("%+v", s)
+			}
+		})
+	}
+}
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -71,6 +71,11 @@
 	}
 	x := &exchange{c: c, wantsClose: r.Close, noBody: r.Method == http.MethodHead}
 	q.Client = x
+	// Danger: the end of a client is read by a goroutine of its own, which on a busy node may wait its turn behind thousands.
+	q.Send.Wanted = func() bool {
+		_, left := c.look()
+		return !left
+	}
 	// d's words were taken before the header loses what concerns this connection only, its time with it.
 	q.Send.Method, q.Send.URI, q.Send.Host = r.Method, r.URL.RequestURI(), r.Host
 	header := endToEnd(r.Header)
