node: silent clients make room, the oldest first, for discovery and health checks

Ruled out: closing whoever has just come (a good client's request is a moment behind its connection). At fault: conns.shutOldest, which spared who had never been served for sendTime, and conns.add, which took in everybody. Change: one that has never said anything makes room after 50 ms, or 10 ms for a dial; where clients hold half of what is left to backends the oldest silent one does at once, and only where there is none is the new one shut, if its request is not here. robindrum sheds by its own rules as before.

--- a/cmd/arrowhitch/signals_test.go
+++ b/cmd/arrowhitch/signals_test.go
@@ -27,10 +27,16 @@
 }
 
 func launch(t *testing.T, text func(listen string) string) *process {
+	t.Helper()
+	return launchWith(t, text, func(program string) *exec.Cmd { return exec.Command(program) })
+}
+
+// launchWith is launch by a command of the caller's, which is to end by exec of the program.
+func launchWith(t *testing.T, text func(listen string) string, command func(program string) *exec.Cmd) *process {
 	t.Helper()
 	p := &process{listen: fakes.Refusing(t), path: filepath.Join(t.TempDir(), "config.json")}
 	p.write(t, text(p.listen))
-	p.Cmd = exec.Command(filepath.Join(programs, "arrowhitch"))
+	p.Cmd = command(filepath.Join(programs, "arrowhitch"))
 	p.Env = append(os.Environ(), "PROXY_CONFIG="+p.path)
 	p.Stderr = &p.log
 	if err := p.Start(); err != nil {
--- a/internal/node/conns.go
+++ b/internal/node/conns.go
@@ -16,6 +16,7 @@
 const (
 	acceptRetry = 5 * time.Millisecond
 	settled     = 50 * time.Millisecond
+	fresh       = 10 * time.Millisecond // a client that has said nothing for so long makes room for a dial
 )
 
 type conns struct {
@@ -32,7 +33,7 @@
 func newConns(budget *backend.Budget, heads bool) *conns {
 	c := &conns{budget: budget, heads: heads, slots: budget.Limit() * 3 / 4, boot: time.Now(), all: map[*client]struct{}{}}
 	c.empty = sync.NewCond(&c.mu)
-	budget.OnShort(func() bool { return c.shutOldest() })
+	budget.OnShort(func() bool { return c.shutOldest(fresh) })
 	return c
 }
 
@@ -46,13 +47,33 @@
 	return time.Since(c.boot) - time.Duration(q)
 }
 
-func (c *conns) add(k *client) {
+// add takes in a client that has just connected. Where clients are many, who has been idle for longest makes room for it; where
+// they hold half of what is to be left to backends, that may be one that has connected just before and said nothing yet. Where
+// nobody is to be had for that, it is shut itself unless its request is here, and add tells that. Where clients that owe a head
+// are shed (ShedHeads), that does it.
+//
+// Danger: idle clients that come faster than they are shut hold what discovery, backends and the health check need. And where it
+// is the new one that is shut, instead of the oldest, a good client whose request is a moment behind its connection is too, on
+// each connection that it tries.
+func (c *conns) add(k *client) bool {
 	c.rest(k)
 	c.owes(k)
 	c.mu.Lock()
 	c.all[k] = struct{}{}
+	n := len(c.all)
 	c.mu.Unlock()
+	room := c.heads || n <= c.slots || c.shutOldest(settled) || n <= (c.slots+c.budget.Limit())/2 || c.shutOldest(0)
 	c.budget.Force()
+	if k.gone.Load() { // nobody else was to be had
+		return false
+	}
+	if !room {
+		if waits, _ := k.look(); !waits {
+			k.Close()
+			return false
+		}
+	}
+	return true
 }
 
 func (c *conns) remove(k *client) {
@@ -67,11 +88,19 @@
 
 func (c *conns) crowded() bool { return c.budget.Used() >= c.budget.Limit() }
 
-// full tells whether there are too many clients to take a request of one more. Those that owe a head hold a descriptor,
-// but ask nothing of backends.
+// full tells whether there are too many clients to take a request of one more. Those that owe a head, or have said nothing
+// yet, hold a descriptor, but ask nothing of backends.
 func (c *conns) full() bool {
 	c.mu.Lock()
 	n := len(c.all)
+	if n > c.slots && !c.heads {
+		n = 0
+		for k := range c.all {
+			if k.served.Load() || k.quiet.Load() == 0 {
+				n++
+			}
+		}
+	}
 	c.mu.Unlock()
 	if n <= c.slots {
 		return false
@@ -82,7 +111,7 @@
 			return false
 		}
 	}
-	return !c.shutOldest()
+	return !c.shutOldest(settled)
 }
 
 const (
@@ -164,10 +193,15 @@
 	return p
 }
 
-func (c *conns) shutOldest() bool {
+// shutOldest closes the client that has been idle for longest, if one has been for long enough; one that has never said anything
+// has after so long already, as clients send as soon as they have connected.
+func (c *conns) shutOldest(silent time.Duration) bool {
 	old := func(k *client) bool {
 		d := c.idle(k)
-		return d >= settled && (k.served.Load() || d >= sendTime)
+		if c.heads { // who owes a head is shed by other rules
+			return d >= settled && (k.served.Load() || d >= sendTime)
+		}
+		return d >= settled || d >= silent && !k.served.Load()
 	}
 	var passed []*client // whose next request has come: they are as good as busy
 	for len(passed) < mostPassed {
@@ -270,7 +304,8 @@
 			k.prefix = PrefixOf(k.peer.Addr, 24, 56)
 			n.conns.shedHeads()
 		}
-		n.conns.add(k)
-		go k.serve()
+		if n.conns.add(k) {
+			go k.serve()
+		}
 	}
 }
--- a/internal/node/crossings_test.go
+++ b/internal/node/crossings_test.go
@@ -266,7 +266,7 @@
 	c[0].send(head("GET", "get"))
 	fakes.Eventually(t, "the request", func() bool { waits, _ := k[0].look(); return waits })
 	go k[0].reading.Unlock()
-	if !w.conns.shutOldest() {
+	if !w.conns.shutOldest(settled) {
 		t.Error("no room was made")
 	}
 	if code, _, _ := c[0].answer(t); code != 200 {
