quorum: a client asks on through an election, with pauses that grow, for 8 s at the most

Seen: drains and releases that were ordered as a leader had just died failed within a second with "no quorum". At fault: Client.Do counted three rounds over the voters, which are over in no time where voters answer at once that none of them leads. Change: it asks for as long as three rounds over silent voters take, mostAsked (8 s) at the most, since operators' calls have 10 s; one redirect is followed at once, voters that name each other are paused for, pauses grow.

--- a/internal/quorum/client.go
+++ b/internal/quorum/client.go
@@ -32,15 +32,30 @@
 	return &Client{node: n, voters: voters, attempt: attempt, now: now}
 }
 
-// Do has a command agreed on, within ctx and three rounds over the voters. sent is when the attempt that was answered was
-// sent, by the caller's clock: a grant counts from there.
+// mostAsked bounds how long a command is asked for, however many voters there are. Operators' calls have 10 s: who made one is to
+// be told that there is no quorum, and not that the time is up.
+const mostAsked = 8 * time.Second
+
+// limit is how long a command is asked for: as three rounds over silent voters take, mostAsked at the most.
+func (c *Client) limit() time.Duration {
+	return min(time.Duration(3*len(c.voters))*c.attempt, mostAsked)
+}
+
+// Do has a command agreed on, within ctx and the client's limit. sent is when the attempt that
+// was answered was sent, by the caller's clock: a grant counts from there.
+//
+// Danger: rounds that are counted are over in no time where voters answer at once that none of them leads, and an election takes
+// longer than its heartbeat. So time counts, and the pauses grow: a fleet that waits for an election is not to hold it up.
 func (c *Client) Do(ctx context.Context, cmd Command) (r Result, sent time.Duration, err error) {
+	ctx, cancel := context.WithTimeout(ctx, c.limit())
+	defer cancel()
 	c.mu.Lock()
 	to := c.leader
 	c.mu.Unlock()
 	next := rand.IntN(len(c.voters))
 	var last error
-	for range 3 * len(c.voters) {
+	redirected := false
+	for wait := c.attempt / 20; ; wait = min(2*wait, c.attempt/2) {
 		if to == "" {
 			to = c.voters[next%len(c.voters)].Address
 			next++
@@ -51,15 +66,22 @@
 			c.heard(to, nil)
 			return r, sent, nil
 		}
-		if last = err; leader != "" && leader != to {
-			to = leader
+		if last == nil || ctx.Err() == nil { // one that ended with the time says less than the ones before
+			last = err
+		}
+		if leader == to {
+			leader = ""
+		}
+		to = leader
+		// One redirect is followed at once. Voters that name each other know as little as those that name nobody.
+		if redirected = leader != "" && !redirected; redirected {
+			wait /= 2
 			continue
 		}
-		to = ""
+		pause(ctx, wait+rand.N(wait+1))
 		if ctx.Err() != nil {
 			break
 		}
-		pause(ctx, c.attempt/20+rand.N(c.attempt/20+1))
 	}
 	err = fmt.Errorf("%w: %w", ErrNone, last)
 	c.heard("", err)
