lab: a request that has come and not gone on yet holds no place in a server's queue

Ruled out: the first request's worker still at work (its entry is back before its answer goes out). At fault: host.take counted a request as waiting from its arrival until it had picked up its worker, also where one was idle; on a busy machine a second one came in between and was turned away. Change: who has a worker and who waits changes in one step under the host's lock (workers.ask, done, leave), with the longest waiting first. Measured: TestHostCountsWhoCame holds three between arrival and worker; the same steps on the code before answer the second one 503 (seen). 60 plays of TestHost, twelve side by side under -race: passed.

--- a/internal/lab/host.go
+++ b/internal/lab/host.go
@@ -29,8 +29,7 @@
 	how      string        // "": it lives
 	epoch    context.Context
 	end      context.CancelFunc
-	slots    chan time.Duration // a worker's entry says when it became free, so that late wake-ups cost no capacity
-	waiting  int
+	workers  *workers
 	since    time.Duration // it started; 0: long ago
 	until    time.Duration // it has fallen over until then
 	slow     float64
@@ -54,11 +53,8 @@
 	}
 	h.addr = l.Addr().String()
 	h.epoch, h.end = context.WithCancel(context.Background())
-	h.slots = make(chan time.Duration, h.group.Workers)
-	for range h.group.Workers {
-		h.slots <- 0
-	}
-	h.how, h.waiting, h.until, h.arrivals, h.draining, h.told = "", 0, 0, nil, false, 0
+	h.workers = &workers{free: make([]time.Duration, h.group.Workers)}
+	h.how, h.until, h.arrivals, h.draining, h.told = "", 0, nil, false, 0
 	server, done := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}, make(chan struct{})
 	server.ConnContext = func(ctx context.Context, _ net.Conn) context.Context {
 		return context.WithValue(ctx, connection{}, &atomic.Bool{})
@@ -180,9 +176,10 @@
 	}
 	h.mu.Lock()
 	status = h.arrive(came + way)
-	epoch, slots, how := h.epoch, h.slots, h.how
-	if status == 0 && how == "" || how == "loses" {
-		h.waiting++
+	epoch, workers, how := h.epoch, h.workers, h.how
+	var mine chan time.Duration
+	if status == 0 && how != "silent" && how != "resets" {
+		mine = workers.ask()
 	}
 	h.mu.Unlock()
 	switch {
@@ -198,14 +195,16 @@
 	}
 	var free time.Duration
 	select {
-	case free = <-slots:
+	case free = <-mine:
 	case <-r.Context().Done(): // called off while it waited: it takes nobody's time
 		err = r.Context().Err()
 	case <-epoch.Done():
 		err = errGone
 	}
 	h.mu.Lock()
-	h.waiting--
+	if err != nil {
+		workers.leave(mine)
+	}
 	start := max(free, came+way)
 	end := start + time.Duration(float64(took)*h.slow/h.warmth(start)/h.group.at(start))
 	h.mu.Unlock()
@@ -214,7 +213,9 @@
 	}
 	// Danger: what has begun runs to its end, whoever still waits for it.
 	err = sleep(epoch, run.at(end))
-	slots <- end
+	h.mu.Lock()
+	workers.done(end)
+	h.mu.Unlock()
 	if err != nil {
 		return 0, errGone
 	}
@@ -231,6 +232,45 @@
 	return http.StatusOK, sleep(r.Context(), run.at(end+way+link.takes(class.Answer)))
 }
 
+// workers are those of one start of a server, and the requests that wait for one. Who is at work and who waits changes in
+// one step, under the host's lock: a request that has come and not yet gone on holds no place in the queue if a worker is
+// free for it.
+type workers struct {
+	free []time.Duration      // when each idle one became free, so that late wake-ups cost no capacity
+	line []chan time.Duration // who waits, the longest first; each has room for its worker
+}
+
+// ask gives where a worker comes to: at once if one is free, otherwise behind those that wait.
+func (w *workers) ask() chan time.Duration {
+	mine := make(chan time.Duration, 1)
+	if len(w.free) == 0 {
+		w.line = append(w.line, mine)
+		return mine
+	}
+	mine <- w.free[0]
+	w.free = w.free[1:]
+	return mine
+}
+
+// done hands on a worker that is free since then.
+func (w *workers) done(since time.Duration) {
+	if len(w.line) == 0 {
+		w.free = append(w.free, since)
+		return
+	}
+	w.line[0] <- since
+	w.line = w.line[1:]
+}
+
+// leave takes back what was asked for; a worker that came meanwhile goes to the next.
+func (w *workers) leave(mine chan time.Duration) {
+	if i := slices.Index(w.line, mine); i >= 0 {
+		w.line = slices.Delete(w.line, i, i+1)
+		return
+	}
+	w.done(<-mine)
+}
+
 // statusGone is that the connection breaks.
 const statusGone = -1
 
@@ -250,11 +290,11 @@
 		}
 		h.run.cold(now, load, fell)
 	}
-	h.run.queue(now, h.waiting+1+h.group.Workers-len(h.slots))
+	h.run.queue(now, len(h.workers.line)+1+h.group.Workers-len(h.workers.free))
 	switch {
 	case now < h.until:
 		return statusGone
-	case h.how == "says_503", h.how == "" && h.waiting >= h.group.Queue:
+	case h.how == "says_503", h.how == "" && len(h.workers.free) == 0 && len(h.workers.line) >= h.group.Queue:
 		return http.StatusServiceUnavailable
 	}
 	return 0
--- a/internal/lab/live_test.go
+++ b/internal/lab/live_test.go
@@ -272,6 +272,49 @@
 	}
 }
 
+// Three requests come before any of them has gone on: the idle worker is the first one's, the second waits, and only the
+// third finds no room. Who leaves while it waits makes room, and a worker that came to it meanwhile is the next one's.
+func TestHostCountsWhoCame(t *testing.T) {
+	e := parsed(t, "name: a\nlength: 60s\nfleet: {workers: 1, queue: 1, service: 200ms}\nload: {rate: 1}\n")
+	p := &playing{e: e, c: newCollector(e), began: time.Now()}
+	h, err := newHost(p, "a-0", &e.Fleet.Groups[0], 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { h.kill("") })
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	come := func(want int) chan time.Duration {
+		t.Helper()
+		status := h.arrive(time.Second)
+		if status != want {
+			t.Errorf("it is answered %d at once, want %d", status, want)
+		}
+		if status != 0 {
+			return nil
+		}
+		return h.workers.ask()
+	}
+	first, second := come(0), come(0)
+	come(http.StatusServiceUnavailable)
+	if len(first) != 1 || len(second) != 0 {
+		t.Errorf("the one worker has come to %d of the first and %d of the second", len(first), len(second))
+	}
+	h.workers.leave(second)
+	third := come(0)
+	come(http.StatusServiceUnavailable)
+	<-first
+	h.workers.done(7 * time.Second)
+	fourth := come(0)
+	h.workers.leave(third) // its worker was there already
+	if len(fourth) != 1 || <-fourth != 7*time.Second {
+		t.Error("the worker of one that left did not come to the next")
+	}
+	if p.c.phases[0].Queue != 3 {
+		t.Errorf("%d at the server at most, want 3: one at work, one that waits, one turned away", p.c.phases[0].Queue)
+	}
+}
+
 // Arrivals come in order, within the length, alike for the same seed, as many as the rate gives.
 func TestArrivals(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
