lab: up to 2,400 gateways are simulated

The module at the size that is planned for (docs/CAPACITY.md) is a simulated experiment of 2,400 gateways; mostGateways was 500. The bound on views (servers times gateways, 200,000) stays, so such an experiment has few servers. Loopback's own bound of 8 stays.

--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -186,7 +186,7 @@
 const (
 	mostRequests = 5_000_000
 	mostServers  = 2_000
-	mostGateways = 500
+	mostGateways = 2400    // simulated; real ones have a bound of their own
 	mostViews    = 200_000 // servers times gateways
 	mostEvents   = 1_000
 	mostLength   = time.Hour
