peer, members: what a process sends is counted; who is known is looked up by name

Needed to measure what each role spends for control (docs/CAPACITY.md): peer.Node.Traffic counts bytes, packets, calls and streams at the sockets, both ways; members.List has Lookup, Len and Exchange, so that the rig asks neither for copies of the whole list nor memberlist itself. The stand-in site can be started with the other variant of xDS. Nothing of it changes what is sent.

--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -40,6 +40,8 @@
 type View interface {
 	Members() []Member
 	Self() Member
+	Lookup(name string) (Member, bool)
+	Len() int
 }
 
 // List follows the fleet. Its methods may be called by several goroutines at once.
@@ -104,7 +106,7 @@
 		}
 		for _, s := range l.opt.Seeds {
 			if !here[s] && ctx.Err() == nil {
-				if _, err := l.ml.Join([]string{s}); err != nil {
+				if err := l.Exchange(s); err != nil {
 					l.opt.Log.Debug("a seed does not answer", "seed", s, "err", err)
 				}
 			}
@@ -118,6 +120,12 @@
 	}
 }
 
+// Exchange tells the member at an address all that is known here, and takes all that it knows.
+func (l *List) Exchange(address string) error {
+	_, err := l.ml.Join([]string{address})
+	return err
+}
+
 // told runs one event of the roster and hands on what comes of it.
 func (l *List) told(event func(now time.Duration) []Event) {
 	l.mu.Lock()
@@ -150,6 +158,24 @@
 	return l.roster.list()
 }
 
+// Lookup gives one that is known, in whatever state; false: none has that name.
+func (l *List) Lookup(name string) (Member, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e := l.roster.all[name]
+	if e == nil {
+		return Member{}, false
+	}
+	return e.Member, true
+}
+
+// Len is how many are known, with this process and those that are dead.
+func (l *List) Len() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.roster.all)
+}
+
 // Self is this process.
 func (l *List) Self() Member {
 	l.mu.Lock()
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -56,6 +56,7 @@
 	done    chan struct{}
 	open    atomic.Int64
 	sent    atomic.Int64
+	traffic counters
 	mu      sync.Mutex
 	streams map[net.Conn]struct{}
 	via     map[string]*net.UDPAddr
@@ -82,6 +83,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("fleet: %w", err)
 	}
+	n.tcp = countedListener{n.tcp, &n.traffic}
 	n.client = &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) { return n.dial(ctx, addr) },
 		MaxIdleConnsPerHost: 2, MaxIdleConns: 512, IdleConnTimeout: 30 * time.Second, DisableCompression: true}}
 	n.server = &http.Server{Handler: http.HandlerFunc(n.serve), ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: mostHead,
@@ -178,7 +180,11 @@
 		addr = via
 	}
 	d := net.Dialer{Timeout: dialTime}
-	return d.DialContext(ctx, "tcp", addr)
+	c, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return &counted{c, &n.traffic}, nil
 }
 
 // Call posts in, as JSON, and reads the answer into out, which may be nil. It ends with ctx.
@@ -193,6 +199,7 @@
 	}
 	r.Header.Set(fleetHeader, n.opt.Fleet)
 	n.sent.Add(int64(len(body)) + 200)
+	n.traffic.calls.Add(1)
 	resp, err := n.client.Do(r)
 	if err != nil {
 		return err
@@ -249,6 +256,7 @@
 func (n *Node) Stream(ctx context.Context, addr, kind string, say http.Header) (net.Conn, http.Header, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTime)
 	defer cancel()
+	n.traffic.streams.Add(1)
 	c, err := n.dial(ctx, addr)
 	if err != nil {
 		return nil, nil, err
@@ -320,6 +328,8 @@
 		return err
 	}
 	n.sent.Add(int64(len(b)))
+	n.traffic.packets.Add(1)
+	n.traffic.packetBytes.Add(int64(len(b)))
 	_, err = n.udp.WriteToUDP(b, to)
 	return err
 }
--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -41,7 +41,8 @@
 	Posts map[string]*End
 	Every time.Duration // between two posts
 	// XDS is the control plane, an end outside; nil: a static cluster.
-	XDS *End
+	XDS     *End
+	Variant string // of xDS; empty: the program's default
 	// Fleet and File are more lines of the block `fleet:` and of the file; nil: none.
 	Fleet, File func(i int) string
 	// Binaries are other programs than Binary, by node: an earlier version.
@@ -218,7 +219,7 @@
 			b.WriteString("clusters: [{name: c, endpoints: [{address: \"127.0.0.1:9\"}]}]\nroutes: [{match: {prefix: /}, cluster: c}]\n")
 		}
 		if o.XDS != nil {
-			fmt.Fprintf(&b, "xds: {servers: [%q], node: {id: %q}, clusters: true, backoff_base: 100ms, backoff_most: 1s, connect_timeout: 1s, initial_fetch_timeout: 5s}\n", n.end(o.XDS), n.Name)
+			fmt.Fprintf(&b, "xds: {servers: [%q], variant: %s, node: {id: %q}, clusters: true, backoff_base: 100ms, backoff_most: 1s, connect_timeout: 1s, initial_fetch_timeout: 5s}\n", n.end(o.XDS), cmp.Or(o.Variant, "sotw"), n.Name)
 		}
 	}
 	if o.NoFleet {
--- a/internal/standin/cluster/site.go
+++ b/internal/standin/cluster/site.go
@@ -30,7 +30,8 @@
 type SiteOptions struct {
 	Binary, Dir string
 	Gateways    int
-	Shared      bool // one subscription for all
+	Shared      bool   // one subscription for all
+	Variant     string // of xDS; empty: the program's default
 	Lease       time.Duration
 	OwnAfter    time.Duration
 	Heartbeat   time.Duration // of the holder of the subscription
@@ -81,7 +82,7 @@
 		sites = []string{"s"}
 	}
 	plane := &End{Name: "plane", Addr: s.Plane.Addr}
-	if s.Cluster, err = New(Options{Binary: o.Binary, Dir: s.dir, Nodes: o.Gateways, Sites: sites, Lease: o.Lease, Beat: o.Lease / 6, XDS: plane, Seed: o.Seed, Posts: o.Posts,
+	if s.Cluster, err = New(Options{Binary: o.Binary, Dir: s.dir, Nodes: o.Gateways, Sites: sites, Lease: o.Lease, Beat: o.Lease / 6, XDS: plane, Variant: o.Variant, Seed: o.Seed, Posts: o.Posts,
 		Versions: o.Versions, Version: o.Version, Lines: o.Lines,
 		Fleet: func(int) string { return fleet },
 		File: func(i int) string {
