hollow, measure capacity: what control costs at 2,400 nodes, by slopes; docs/CAPACITY.md

Found: with more than 20,000 endpoints order.Book.See refuses the leader's look, so no drain or release is granted (done at 19,984, never at 20,013); then the configuration's version in members' own data, the subscription by state of the world, and a lease's line of 1,024. Bounds seen to fail with a probe twice as often, twice the retransmissions, and more said by each.

--- /dev/null
+++ b/internal/standin/hollow/fit_test.go
@@ -0,0 +1,118 @@
+package hollow
+
+import (
+	"math"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// A line is found again, whatever its slope, and its crossing with a bound.
+func TestFitFindsALine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		start, slope := rapid.Float64Range(1, 100).Draw(t, "start"), rapid.Float64Range(0.5, 20).Draw(t, "slope")
+		var values []float64
+		sizes := []float64{100, 300, 800, 2400}
+		for _, n := range sizes {
+			values = append(values, start+slope*n)
+		}
+		f, err := NewFit(sizes, values)
+		if err != nil {
+			t.Fatal(err)
+		}
+		near := func(got, want float64) bool { return math.Abs(got-want) <= 1e-6*math.Abs(want)+1e-6 }
+		if v, far := f.At(24000); !near(v, start+slope*24000) || far != 10 || f.Bends() || f.Residual > 1e-9 {
+			t.Fatalf("%v: %v, %v times", &f, v, far)
+		}
+		if at := f.Crosses(start + slope*1234); !near(at, 1234) {
+			t.Fatalf("%v: crossed at %v", &f, at)
+		}
+	})
+}
+
+// What bends is told, and is drawn out by its power; what is flat but for noise stays where it is.
+func TestFitTellsBendsAndNoise(t *testing.T) {
+	sizes := []float64{100, 300, 800, 2400}
+	var square []float64
+	for _, n := range sizes {
+		square = append(square, n*n/1000)
+	}
+	f, err := NewFit(sizes, square)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if v, _ := f.At(24000); !f.Bends() || math.Abs(f.Power-2) > 1e-9 || math.Abs(v-576000) > 1 || !strings.Contains(f.String(), "BENDS") {
+		t.Errorf("%v: %v", &f, v)
+	}
+	if at := f.Crosses(576000); math.Abs(at-24000) > 1 {
+		t.Errorf("crossed at %v", at)
+	}
+	if f, err = NewFit(sizes, []float64{100, 97, 102, 99}); err != nil {
+		t.Fatal(err)
+	}
+	if v, _ := f.At(1e6); !f.Flat() || v != 102 || !math.IsInf(f.Crosses(200), 1) || f.Crosses(50) != 100 {
+		t.Errorf("%v: %v, %v, %v", &f, v, f.Crosses(200), f.Crosses(50))
+	}
+}
+
+// A figure of bytes does not become less than none, however far a falling line is drawn out.
+func TestFitDoesNotFallBelowZero(t *testing.T) {
+	f, err := NewFit([]float64{10, 20, 40, 80}, []float64{626, 580, 560, 540})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if v, _ := f.At(2400); f.Flat() || f.Bends() || v != 626 || !math.IsInf(f.Crosses(1000), 1) {
+		t.Errorf("%v: %v", &f, v)
+	}
+}
+
+func TestFitRefusesWhatIsNoSeries(t *testing.T) {
+	for _, c := range []struct{ sizes, values []float64 }{{nil, nil}, {[]float64{1}, []float64{1}}, {[]float64{1, 2}, []float64{1}}, {[]float64{2, 1}, []float64{1, 2}}, {[]float64{0, 1}, []float64{1, 2}}} {
+		if f, err := NewFit(c.sizes, c.values); err == nil {
+			t.Errorf("%v, %v: %v", c.sizes, c.values, &f)
+		}
+	}
+}
+
+// A size that would take more than half of the machine, 200 processes or the descriptors is refused with the estimate.
+func TestSizesThatAreTooLargeAreRefused(t *testing.T) {
+	for what, c := range map[string]struct {
+		members, processes int
+		memory, files      int64
+	}{
+		"memory":      {4000, 0, 16 << 30, 1 << 20},
+		"processes":   {10, 201, 256 << 30, 1 << 20},
+		"descriptors": {2400, 0, 256 << 30, 1024},
+	} {
+		if err := MembersNeed(c.members, c.processes).refuse(c.memory, c.files); err == nil || !strings.Contains(err.Error(), what) {
+			t.Errorf("%s: %v", what, err)
+		}
+	}
+	if err := MembersNeed(800, 5).refuse(24<<30, 20000); err != nil {
+		t.Errorf("800 members on a machine of 24 GiB: %v", err)
+	}
+	if err := MembersNeed(2400, 5).refuse(24<<30, 20000); err == nil {
+		t.Error("2400 members on a machine of 24 GiB")
+	}
+	if _, err := New(Options{Members: 4001}); err == nil {
+		t.Error("4001 members")
+	}
+}
+
+// Two rigs have no address in common, whichever process they are in.
+func TestHostsAreApart(t *testing.T) {
+	seen := map[int]bool{}
+	for range 5 {
+		h, err := newHost()
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(h.close)
+		hosts.Add(^uint32(0)) // the next one begins its search where this one did
+		if seen[h.net] {
+			t.Errorf("127.%d is taken twice", h.net)
+		}
+		seen[h.net] = true
+	}
+}
--- /dev/null
+++ b/internal/standin/hollow/gateways.go
@@ -0,0 +1,166 @@
+package hollow
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"arrowhitch/internal/fleet"
+	"arrowhitch/internal/order"
+	"arrowhitch/internal/peer"
+	"arrowhitch/internal/share"
+)
+
+// Gateways are hollow members that take orders and the subscription's news as gateways do, and serve nothing. Prepare is for
+// Options. Its methods may be called by several goroutines at once.
+type Gateways struct {
+	mu  sync.Mutex
+	all map[string]*taker
+}
+
+// mostTimes are kept of what one was told.
+const mostTimes = 4096
+
+// taker is one's agent.
+type taker struct {
+	g    *Gateways
+	name string
+	m    *Member
+
+	// Under g.mu:
+	rounds  []time.Duration          // when it was told of orders, on fleet.Clock
+	drained map[string]time.Duration // when it first heard that an order has it out
+	share   *share.Share
+	taken   map[[2]uint64]time.Duration // when it took a change, by token and number
+	wholes  int                         // lists taken as a whole
+	bytes   int64                       // of pushes
+	pushes  int
+}
+
+// NewGateways makes none: Prepare adds them.
+func NewGateways() *Gateways { return &Gateways{all: map[string]*taker{}} }
+
+// The path of the subscription's news is the gateway's own (internal/gateway), whose whole front would come with its code.
+const sharePath = "/fleet/v1/xds"
+
+// Prepare has a member take orders and news.
+func (g *Gateways) Prepare(m *Member) error {
+	t := &taker{g: g, name: m.Name, m: m, drained: map[string]time.Duration{}, taken: map[[2]uint64]time.Duration{},
+		share: share.New(fleet.Clock(), share.Options{OwnAfter: time.Hour})}
+	g.mu.Lock()
+	g.all[m.Name] = t
+	g.mu.Unlock()
+	m.Serve(t)
+	m.Node().Handle(sharePath, 64<<20, t.receive)
+	return nil
+}
+
+// Ordered takes what is ordered and says how it stands: in service, or out with nothing in hand.
+func (t *taker) Ordered(v order.View, _ bool) fleet.Report {
+	t.g.mu.Lock()
+	defer t.g.mu.Unlock()
+	now := fleet.Clock()
+	if len(t.rounds) < mostTimes {
+		t.rounds = append(t.rounds, now)
+	}
+	r := fleet.Report{Version: v.Version, Serving: true, InHand: map[string]int{}}
+	for _, o := range v.Out {
+		if o.State.Out() && o.Target.HasGateway(t.name, t.m.Site, "z0") {
+			if t.drained[o.ID] == 0 {
+				t.drained[o.ID] = now
+			}
+			r.Serving, r.InHand[o.ID] = false, 0
+		}
+	}
+	return r
+}
+
+// Configure takes any.
+func (t *taker) Configure(string, string) error { return nil }
+
+// receive takes a push as the gateway's does: the share decides, and what comes is read.
+func (t *taker) receive(_ context.Context, body []byte) (any, error) {
+	var p struct {
+		share.Push
+		Types []struct {
+			Resources [][]byte `json:"resources"`
+		} `json:"types"`
+	}
+	if err := json.Unmarshal(body, &p); err != nil {
+		return nil, &peer.Failure{Status: http.StatusBadRequest, Err: err}
+	}
+	t.g.mu.Lock()
+	defer t.g.mu.Unlock()
+	now := fleet.Clock()
+	v := t.share.Push(now, p.Push, 0)
+	t.pushes++
+	t.bytes += int64(len(body))
+	if v == share.Take {
+		t.taken[[2]uint64{p.Token, p.Seq}] = now
+		if p.Whole {
+			t.wholes++
+		}
+	}
+	return struct {
+		Verdict share.Verdict `json:"verdict"`
+		Highest uint64        `json:"highest"`
+	}{v, t.share.Highest()}, nil
+}
+
+// Rounds gives the times between two of the leader's rounds as the gateways see them, sorted, and how often they were told in all,
+// since a reading of fleet.Clock.
+func (g *Gateways) Rounds(since time.Duration) (between []time.Duration, calls int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, t := range g.all {
+		last := time.Duration(0)
+		for _, at := range t.rounds {
+			if at < since {
+				continue
+			}
+			calls++
+			if last > 0 {
+				between = append(between, at-last)
+			}
+			last = at
+		}
+	}
+	slices.Sort(between)
+	return between, calls
+}
+
+// Drained is when a gateway heard that an order has it out, on fleet.Clock; 0: it has not.
+func (g *Gateways) Drained(name, id string) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if t := g.all[name]; t != nil {
+		return t.drained[id]
+	}
+	return 0
+}
+
+// News is what the gateways took of the subscription since a reading of fleet.Clock: when each took its last change, sorted, and
+// how many took none; the pushes and their bytes are all that came.
+func (g *Gateways) News(since time.Duration) (took []time.Duration, none, wholes, pushes int, bytes int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, t := range g.all {
+		last := time.Duration(0)
+		for _, at := range t.taken {
+			if at >= since {
+				last = max(last, at)
+			}
+		}
+		if last == 0 {
+			none++
+		} else {
+			took = append(took, last-since)
+		}
+		wholes, pushes, bytes = wholes+t.wholes, pushes+t.pushes, bytes+t.bytes
+	}
+	slices.Sort(took)
+	return took, none, wholes, pushes, bytes
+}
--- /dev/null
+++ b/internal/standin/hollow/hollow_test.go
@@ -0,0 +1,205 @@
+package hollow
+
+import (
+	"errors"
+	"log/slog"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"arrowhitch/internal/fakes"
+	"arrowhitch/internal/members"
+	"arrowhitch/internal/order"
+	"arrowhitch/internal/peer"
+	"arrowhitch/internal/quorum"
+	"arrowhitch/internal/share"
+)
+
+// Bounds of the slopes: counts and bytes, never times. Each is some 1.4 times what was measured, so that twice as much is over it.
+const (
+	mostPackets       = 2.8 // of a member in a probe's time, at any size: its own probe and one that it answers
+	mostPacketBytes   = 140 // the same
+	mostExchangeSlope = 120 // bytes of a full exchange for one more member, both ways: 84, packed
+	mostUpdateBytes   = 800 // of a member for each other's update: it is told on some times, to three at a time
+)
+
+// What membership sends does not grow with the members but where the page says so, by slopes over four sizes.
+func TestMembershipBySlopes(t *testing.T) {
+	fakes.Leaks(t)
+	counts := []int{4, 6, 8, 11}
+	rows, errs := make([]MembersRow, len(counts)), make([]error, len(counts))
+	var work sync.WaitGroup
+	// At once, as nothing here is a time, and with slow probes. Danger: more of them on a busy machine do not keep up under the race
+	// detector, to which the large tables that memberlist makes to pack each packet are dear; what is sent then is mostly doubt.
+	for i, n := range counts {
+		work.Go(func() {
+			rows[i], errs[i] = MeasureMembers(t.Context(), MembersOptions{Options: Options{Members: n, Probe: 400 * time.Millisecond}, Window: 6, Plays: 3})
+		})
+	}
+	work.Wait()
+	if err := errors.Join(errs...); err != nil {
+		t.Fatal(err)
+	}
+	slices.SortFunc(rows, func(a, b MembersRow) int { return a.Members - b.Members })
+	var sizes, exchange []float64
+	for _, r := range rows {
+		n := r.Members
+		t.Logf("%+v", r)
+		if r.Join.Lacking+r.News.Lacking+r.Come.Lacking+r.Leave.Lacking+r.Death.Lacking+r.Rollout.Lacking > 0 {
+			t.Errorf("%d members: join %v, news %v, come %v, leave %v, death %v, rollout %v", n, r.Join, r.News, r.Come, r.Leave, r.Death, r.Rollout)
+		}
+		if r.Packets > mostPackets || r.PacketBytes > mostPacketBytes {
+			t.Errorf("%d members: %.2f packets and %.0f bytes of a member in a probe's time", n, r.Packets, r.PacketBytes)
+		}
+		if r.RolloutBytes > mostUpdateBytes {
+			t.Errorf("%d members: %.0f bytes of a member for each other's update", n, r.RolloutBytes)
+		}
+		sizes, exchange = append(sizes, float64(n)), append(exchange, r.ExchangeBytes)
+	}
+	f, err := NewFit(sizes, exchange)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if t.Logf("a full exchange: %v", &f); f.Slope > mostExchangeSlope {
+		t.Errorf("a full exchange grows by %.0f bytes with each member", f.Slope)
+	}
+}
+
+// A fifth restarts at once, without a word: all know of the new processes.
+func TestManyRestartAtOnce(t *testing.T) {
+	fakes.Leaks(t)
+	f, err := New(Options{Members: 15, Probe: 300 * time.Millisecond})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Close)
+	if err := f.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if s, err := f.Settle(t.Context(), 30*time.Second, 0); err != nil || s.Lacking > 0 {
+		t.Fatal(s, err)
+	}
+	var r MembersRow
+	if err := f.restart(t.Context(), &r, 1000); err != nil || r.Restart.Lacking > 0 {
+		t.Error(r.Restart, err)
+	}
+}
+
+// A dead member is lacking until it is known to be: what waits for it does not take its silence for knowledge.
+func TestLackingCountsPairs(t *testing.T) {
+	fakes.Leaks(t)
+	f, err := New(Options{Members: 3, Probe: 100 * time.Millisecond})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Close)
+	if err := f.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	fakes.Eventually(t, "all to know all", func() bool { return f.Lacking(func(members.Member) bool { return true }) == 0 })
+	if n := f.Lacking(func(m members.Member) bool { return m.Name != "h1" }); n != 3 {
+		t.Errorf("%d pairs lack one member that nobody is to know, want 3", n)
+	}
+	before := f.Traffic()
+	f.kill(f.members[1])
+	if after := f.Traffic(); after.Packets < before.Packets {
+		t.Errorf("the traffic of one that has ended is not counted any more: %+v, before %+v", after, before)
+	}
+	if len(f.up()) != 2 {
+		t.Errorf("%d are up", len(f.up()))
+	}
+}
+
+// One voter in this process is asked by several, and what they ask and send is counted.
+func TestAskersAsk(t *testing.T) {
+	fakes.Leaks(t)
+	quiet := slog.New(slog.DiscardHandler)
+	n, err := peer.Listen(peer.Options{Fleet: "asked", Address: "127.0.0.1:0", Log: quiet})
+	if err != nil {
+		t.Fatal(err)
+	}
+	v := []quorum.Voter{{Name: "v", Address: n.Addr()}}
+	s, err := quorum.Open(n, quorum.Options{Dir: t.TempDir(), Name: "v", Voters: v, Heartbeat: 50 * time.Millisecond, MostBytes: 1 << 24, Log: quiet})
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.Serve()
+	s.Start()
+	t.Cleanup(func() { s.Close(); n.Close() })
+	asks := func(askers int) float64 {
+		a, err := StartAskers(t.Context(), AskersOptions{Fleet: "asked", Askers: askers, Voters: v, Duties: []string{"d"}, Length: 400 * time.Millisecond})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer a.Close()
+		fakes.Within(t, "a holder", a.Holds())
+		before, _ := a.Asked()
+		sent := a.Traffic()
+		fakes.Eventually(t, "as many asks as ten of each", func() bool { n, _ := a.Asked(); return n-before >= int64(10*askers) })
+		after, _ := a.Asked()
+		d := a.Traffic().Minus(sent)
+		if a.Answered() == 0 {
+			t.Error("nothing was answered")
+		}
+		return float64(d.Out+d.In) / float64(after-before)
+	}
+	few, many := asks(2), asks(8)
+	t.Logf("%.0f and %.0f bytes an ask", few, many)
+	// An ask carries one member and one lease, however many ask.
+	if many > 1.4*few || many > 700 {
+		t.Errorf("an ask comes to %.0f bytes with 8 askers, %.0f with 2", many, few)
+	}
+}
+
+// A hollow gateway takes orders and news by the rules of a real one.
+func TestGatewaysTakeOrdersAndNews(t *testing.T) {
+	fakes.Leaks(t)
+	g := NewGateways()
+	f, err := New(Options{Members: 2, Probe: 100 * time.Millisecond, Sites: []string{"s"}, Prepare: g.Prepare})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Close)
+	if err := f.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	to, from := f.members[0], f.members[1]
+	x := order.Order{ID: "x", Target: order.Target{Gateway: to.Name}, State: order.UnderWay}
+	if r := g.all[to.Name].Ordered(order.View{Version: 3, Out: []order.Order{x}}, false); r.Serving || r.Version != 3 || g.Drained(to.Name, "x") == 0 {
+		t.Errorf("%+v", r)
+	}
+	if r := g.all[from.Name].Ordered(order.View{Version: 3, Out: []order.Order{x}}, false); !r.Serving || g.Drained(from.Name, "x") != 0 {
+		t.Errorf("%+v", r)
+	}
+	push := func(p share.Push) (v share.Verdict) {
+		t.Helper()
+		var r struct {
+			Verdict share.Verdict `json:"verdict"`
+		}
+		if err := from.Node().Call(t.Context(), to.Address, sharePath, p, &r); err != nil {
+			t.Fatal(err)
+		}
+		return r.Verdict
+	}
+	for _, c := range []struct {
+		p    share.Push
+		want share.Verdict
+	}{
+		{share.Push{Token: 2, Seq: 5, Base: 4}, share.Need}, // a difference from what it does not have
+		{share.Push{Token: 2, Seq: 5, Whole: true}, share.Take},
+		{share.Push{Token: 2, Seq: 6, Base: 5}, share.Take},
+		{share.Push{Token: 2, Seq: 6}, share.Same},
+		{share.Push{Token: 1, Seq: 9, Whole: true}, share.Refuse},
+	} {
+		if v := push(c.p); v != c.want {
+			t.Errorf("%+v: %s, want %s", c.p, v, c.want)
+		}
+	}
+	if took, none, wholes, pushes, _ := g.News(0); len(took) != 1 || none != 1 || wholes != 1 || pushes != 5 {
+		t.Errorf("%v took, %d none, %d wholes, %d pushes", took, none, wholes, pushes)
+	}
+	if _, calls := g.Rounds(0); calls != 2 {
+		t.Errorf("%d rounds", calls)
+	}
+}
--- /dev/null
+++ b/tools/measure/capacity_limits.go
@@ -0,0 +1,65 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"arrowhitch/internal/order"
+	"arrowhitch/internal/standin/cluster"
+	"arrowhitch/internal/standin/controlplane"
+)
+
+// capacityLimits asks for a drain where a site has so many clusters of the users' 29 endpoints: sizes are clusters. The quorum's book has
+// a bound on endpoints of its own.
+func capacityLimits(ctx context.Context, sizes []int, _ bool) error {
+	dir, binary, remove, err := program(ctx)
+	if err != nil {
+		return err
+	}
+	defer remove()
+	for _, n := range sizes {
+		if err := drainAmong(ctx, dir, binary, n); err != nil {
+			return fmt.Errorf("%d clusters: %w", n, err)
+		}
+	}
+	return nil
+}
+
+func drainAmong(ctx context.Context, dir, binary string, clusters int) error {
+	s, err := cluster.NewSite(ctx, cluster.SiteOptions{Binary: binary, Dir: dir, Gateways: 4, Shared: true, Variant: "delta", Lease: 2 * time.Second, OwnAfter: 20 * time.Second, Heartbeat: time.Second})
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	var set []controlplane.Resource
+	for i := range clusters {
+		set = append(set, controlplane.Resource{Name: fmt.Sprint("k", i), Body: controlplane.Cluster(fmt.Sprint("k", i), "")}, assignment(i, targetEach, 1))
+	}
+	if _, err := s.Plane.Push("100", false, set...); err != nil {
+		return err
+	}
+	if err := cluster.Await(ctx, "all clusters at every gateway", 60*time.Second, func() bool {
+		for _, g := range s.Nodes {
+			if st, err := g.Status(); err != nil || len(st.Clusters) < clusters {
+				return false
+			}
+		}
+		return true
+	}); err != nil {
+		return err
+	}
+	const within = 15 * time.Second
+	var o order.Order
+	began := time.Now()
+	for time.Since(began) < within && o.State != order.Done && o.State != order.Refused {
+		if o, err = s.Nodes[0].Order("drain", order.Order{ID: "limits", Target: order.Target{Gateway: s.Nodes[3].Name}, Owner: "measure", Grace: 5 * time.Second}); err != nil {
+			return err
+		}
+		if err := idleFor(ctx, 200*time.Millisecond); err != nil {
+			return err
+		}
+	}
+	fmt.Printf("%5d clusters, %d endpoints: %v behind a drain of one of four gateways it is %s; %s\n", clusters, clusters*targetEach+3, time.Since(began).Round(10*time.Millisecond), o.State, o.Why)
+	return nil
+}
--- /dev/null
+++ b/tools/measure/capacity_node.go
@@ -0,0 +1,338 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"arrowhitch/internal/lab"
+	"arrowhitch/internal/standin/controlplane"
+)
+
+// The users' size, of one gateway.
+const (
+	targetClusters  = 720
+	targetEach      = 29 // endpoints of a cluster: 20,880
+	targetEndpoints = targetClusters * targetEach
+	targetRoutes    = 5700
+	targetTenants   = 51000
+	boundAdded      = 5.9 // ms for 99 in 100
+)
+
+// timed sends n requests over some connections, one at a time on each, and gives how long the served ones took, in microseconds.
+func timed(addr string, n, conns int, head func(i int) string) (*hdrhistogram.Histogram, int64, error) {
+	took := hdrhistogram.New(1, 60_000_000, 3)
+	var mu sync.Mutex
+	var next, refused atomic.Int64
+	var all sync.WaitGroup
+	errs := make(chan error, conns)
+	for range conns {
+		all.Go(func() {
+			c, err := net.DialTimeout("tcp", addr, 5*time.Second)
+			if err != nil {
+				errs <- err
+				return
+			}
+			defer c.Close()
+			r := bufio.NewReader(c)
+			for i := int(next.Add(1)); i <= n; i = int(next.Add(1)) {
+				_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+				began := time.Now()
+				if _, err := io.WriteString(c, head(i)); err != nil {
+					errs <- err
+					return
+				}
+				resp, err := http.ReadResponse(r, nil)
+				if err == nil {
+					_, err = io.Copy(io.Discard, resp.Body)
+				}
+				if err != nil {
+					errs <- err
+					return
+				}
+				if resp.StatusCode != http.StatusOK {
+					refused.Add(1)
+					continue
+				}
+				mu.Lock()
+				_ = took.RecordValue(time.Since(began).Microseconds())
+				mu.Unlock()
+			}
+		})
+	}
+	all.Wait()
+	select {
+	case err := <-errs:
+		return took, refused.Load(), err
+	default:
+		return took, refused.Load(), nil
+	}
+}
+
+// loaded is a gateway with so many clusters, endpoints, routes and limits by tenant, as a process of its own.
+type loaded struct {
+	*process
+	plane *controlplane.Server
+}
+
+func (g *loaded) close() {
+	if g.process != nil {
+		g.stop()
+	}
+	g.plane.GoAway()
+}
+
+// settled waits until a gateway has told the last of what it was sent.
+func (g *loaded) settled(ctx context.Context, from int) error {
+	ctx, cancel := context.WithTimeout(ctx, 60*time.Second)
+	defer cancel()
+	_, _, err := g.plane.Await(ctx, from, func(r controlplane.Request) bool {
+		return strings.HasSuffix(r.Type(), "ClusterLoadAssignment") && r.Nonce() != ""
+	})
+	return err
+}
+
+func load(ctx context.Context, dir, at string, clusters, each, routes, tenants int) (g *loaded, err error) {
+	plane, err := controlplane.Start("")
+	if err != nil {
+		return nil, err
+	}
+	g = &loaded{plane: plane}
+	var b strings.Builder
+	fmt.Fprintf(&b, "listeners: [{name: web, address: '127.0.0.1:0'}]\nadmin: {address: '127.0.0.1:0'}\nxds: {servers: [%q], variant: delta, node: {id: m}, clusters: true, message: 64MiB}\n", plane.Addr)
+	fmt.Fprintf(&b, "clusters: [{name: real, endpoints: [{address: %q}]}]\nrate_limits: [{name: tenants, key: {header: X-Tenant}, rate: 1000, burst: 1000, keys: %d}]\nroutes:\n", at, max(tenants, 1))
+	for i := range routes {
+		fmt.Fprintf(&b, "  - {name: r%d, match: {prefix: /p%d/}, cluster: k%d}\n", i, i, i%clusters)
+	}
+	b.WriteString("  - {name: last, match: {prefix: /}, cluster: real}\n")
+	path := filepath.Join(dir, fmt.Sprintf("gateway-%d-%d.yaml", clusters, each))
+	if err := os.WriteFile(path, []byte(b.String()), 0o600); err != nil {
+		g.close()
+		return nil, err
+	}
+	var set []controlplane.Resource
+	for i := range clusters {
+		set = append(set, controlplane.Resource{Name: fmt.Sprint("k", i), Body: controlplane.Cluster(fmt.Sprint("k", i), "")}, assignment(i, each, 1))
+	}
+	if _, err := plane.Push("1", false, set...); err != nil {
+		g.close()
+		return nil, err
+	}
+	if g.process, err = start("robindrum", "@"+path); err != nil {
+		g.close()
+		return nil, err
+	}
+	if err := g.settled(ctx, 0); err != nil {
+		g.close()
+		return nil, fmt.Errorf("the first list: %w", err)
+	}
+	if err := await("all endpoints", func() bool {
+		resp, err := http.Get("http://" + g.addr[1] + "/status?endpoints=1")
+		if err != nil {
+			return false
+		}
+		defer resp.Body.Close()
+		text, _ := io.ReadAll(resp.Body)
+		return strings.Count(string(text), `"usable_endpoints": `+strconv.Itoa(each)) >= clusters
+	}); err != nil {
+		g.close()
+		return nil, err
+	}
+	return g, nil
+}
+
+// capacityGateway holds a gateway at a part of the users' state against one with next to none: sizes are clusters, and routes and
+// tenants come in proportion.
+func capacityGateway(ctx context.Context, sizes []int, full bool) error {
+	s := newSeries("clusters")
+	defer func() { s.print(targetClusters) }()
+	dir, err := os.MkdirTemp("", "capacity-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	origin, err := bare()
+	if err != nil {
+		return err
+	}
+	defer origin.Close()
+	requests, rounds, pushes := 4000, 3, 100
+	if full {
+		requests, rounds, pushes = 20000, 5, 500
+	}
+	small, err := load(ctx, dir, origin.Addr().String(), 1, 10, 1, 1)
+	if err != nil {
+		return err
+	}
+	defer small.close()
+	_, empty := small.usage()
+	fmt.Printf("%d endpoints a cluster, routes and tenants in proportion (%d and %d at %d); beside it a gateway with 10 endpoints, %.1f MB resident\n", targetEach, targetRoutes, targetTenants, targetClusters,
+		float64(empty)/1e6)
+	for _, n := range sizes {
+		if err := gatewaySize(ctx, s, dir, origin.Addr().String(), small, n, requests, rounds, pushes); err != nil {
+			return fmt.Errorf("%d clusters: %w", n, err)
+		}
+	}
+	return nil
+}
+
+func gatewaySize(ctx context.Context, s *series, dir, origin string, small *loaded, n, requests, rounds, pushes int) error {
+	routes, tenants := targetRoutes*n/targetClusters, targetTenants*n/targetClusters
+	g, err := load(ctx, dir, origin, n, targetEach, routes, tenants)
+	if err != nil {
+		return err
+	}
+	defer g.close()
+	took, lists := g.usage()
+	// The small one gets the same requests: what they leave behind is no control.
+	var other int64
+	for _, at := range []*loaded{small, g} {
+		if _, other, err = timed(at.addr[0], tenants, 16, func(i int) string {
+			return fmt.Sprintf("GET /x HTTP/1.1\r\nHost: x\r\nX-Tenant: t%d\r\n\r\n", i)
+		}); err != nil {
+			return fmt.Errorf("tenants: %w", err)
+		}
+	}
+	_, tenanted := g.usage()
+	// The request path, in turn with the small one's.
+	var p50, p99 [2][]float64
+	for round := range rounds {
+		for k := range 2 {
+			which := (k + round) % 2
+			at := []*loaded{small, g}[which]
+			h, _, err := timed(at.addr[0], requests, 8, func(i int) string {
+				return fmt.Sprintf("GET /x HTTP/1.1\r\nHost: x\r\nX-Tenant: t%d\r\n\r\n", i*7919%max(tenants, 1))
+			})
+			if err != nil {
+				return fmt.Errorf("requests: %w", err)
+			}
+			p50[which] = append(p50[which], float64(h.ValueAtQuantile(50)))
+			p99[which] = append(p99[which], float64(h.ValueAtQuantile(99)))
+		}
+	}
+	before, _ := g.usage()
+	for i := range pushes { // one a second is the users' rate; what one costs does not depend on it
+		k := len(g.plane.Requests())
+		if _, err := g.plane.Push(fmt.Sprint("v", i), false, assignment(i%n, targetEach, 2+i)); err != nil {
+			return err
+		}
+		if err := g.settled(ctx, k); err != nil {
+			return fmt.Errorf("change %d: %w", i, err)
+		}
+	}
+	after, _ := g.usage()
+	_, end := g.usage()
+	_, empty := small.usage()
+	s.size(n)
+	s.put("resident with lists and routes, MB", float64(lists)/1e6, 0)
+	s.put("resident with tenants seen, MB", float64(tenanted)/1e6, 0)
+	s.put("resident behind all of it, MB", float64(end)/1e6, 0)
+	s.put("the same, over a gateway with 10 endpoints", float64(end-empty)/1e6, boundMemory)
+	s.put("CPU to take all at the start, ms", float64(took.Milliseconds()), 0)
+	s.put("CPU of a changed cluster, ms", float64((after-before).Microseconds())/1000/float64(pushes), 0)
+	s.put("CPU of one change a second, %", float64((after-before).Microseconds())/1000/float64(pushes)/10, boundCPU)
+	s.put("p99 of a request over the small one's, ms", (median(p99[1])-median(p99[0]))/1000, boundAdded)
+	fmt.Printf("%5d clusters, %d endpoints, %d routes, %d tenants (%d refused): p50 %.0f and %.0f us, p99 %.0f and %.0f us with 10 endpoints and here, medians of %d rounds\n", n, n*targetEach, routes, tenants,
+		other, median(p50[0]), median(p50[1]), median(p99[0]), median(p99[1]), rounds)
+	return nil
+}
+
+// capacityNode has the platform's node take a list, as a process of its own: the node's packages, without discovery's client.
+func capacityNode(ctx context.Context, sizes []int, _ bool) error {
+	s := newSeries("endpoints")
+	defer func() { s.print(targetEndpoints) }()
+	dir, err := os.MkdirTemp("", "capacity-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	for _, n := range sizes {
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		var l []string
+		for i := range n {
+			l = append(l, fmt.Sprintf("127.%d.%d.%d:80", 1+i/62500, i/250%250, 1+i%250))
+		}
+		path := filepath.Join(dir, fmt.Sprint(n))
+		if err := os.WriteFile(path, []byte(strings.Join(l, "\n")), 0o600); err != nil {
+			return err
+		}
+		p, err := start("arrowhitch", "@"+path)
+		if err != nil {
+			return err
+		}
+		cpu, resident := p.usage()
+		p.stop()
+		s.size(n)
+		s.put("resident, MB", float64(resident)/1e6, 0)
+		s.put("CPU until it listens, ms", float64(cpu.Milliseconds()), 0)
+	}
+	return nil
+}
+
+// capacityModule plays one service's part of the fleet on simulated time: the same load over ever more nodes.
+func capacityModule(ctx context.Context, sizes []int, full bool) error {
+	s := newSeries("nodes")
+	defer func() { s.print(target) }()
+	const (
+		rate    = 630000.0 / targetClusters // of one service
+		service = 0.04
+		idle    = 7.0 // s that a connection is kept, by the default of clusters
+	)
+	seeds := 1
+	if full {
+		seeds = 3
+	}
+	fmt.Printf("simulated: one service of %d servers with 2 workers of 40 ms, %.0f requests a second over all nodes, 10 ms of work for a new connection; five servers are gone from 20 to 24 s and come back cold; %d seed(s)\n",
+		targetEach, rate, seeds)
+	for _, n := range sizes {
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		e, err := lab.Parse("capacity.yaml", fmt.Appendf(nil, `name: capacity
+about: one service of many before ever more nodes
+length: 40s
+fleet: {zones: [a], servers: %d, workers: 2, service: 40ms, connect: 10ms, warm_up: 10s, warm_share: 0.3, fall: 3}
+gateways: {number: %d}
+classes: [{name: c, part: 1, wanted: 800ms, deadline: 2s, worth: 1}]
+load: {rate: %.0f}
+events: [{at: 20s, do: kill, zone: a, part: 0.17, how: refuses}, {at: 24s, do: revive, zone: a}]
+phases: [10s, 20s, 24s]
+`, targetEach, n, rate))
+		if err != nil {
+			return err
+		}
+		r, err := lab.Simulate(e, seeds)
+		if err != nil {
+			return err
+		}
+		calm, back := r.Phases[1], r.Phases[3]
+		s.size(n)
+		s.put("own requests in flight, of a node", rate/float64(n)*service, 0)
+		s.put("servers that a node draws from", targetEach, 0)
+		s.put("new connections an attempt", float64(calm.Connects)/float64(max(calm.Sends, 1)), 0)
+		s.put("the same, by the rate at a pair alone", math.Exp(-rate/float64(n)/targetEach*idle), 0)
+		s.put("most at one server, over the mean", float64(calm.Queue)/(rate*service/targetEach), 0)
+		s.put("p50 of a request, ms", float64(calm.All.P50.Microseconds())/1000, 0)
+		s.put("p99 of a request, ms", float64(calm.All.P99.Microseconds())/1000, 0)
+		s.put("served in time, part, all well", float64(calm.All.InTime)/float64(max(calm.All.Asked, 1)), 0)
+		s.put("served in time, part, servers cold", float64(back.All.InTime)/float64(max(back.All.Asked, 1)), 0)
+		s.put("worst cold server, over what it can do", back.WorstCold, 0)
+		s.put("cold servers pushed over", float64(back.Fallen), 0)
+	}
+	return nil
+}
--- a/tools/measure/fleet.go
+++ b/tools/measure/fleet.go
@@ -27,14 +27,12 @@
 // built makes a folder with the program.
 func built() (ctx context.Context, dir, binary string, done func(), err error) {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	dir, remove, err := cluster.Folder()
+	dir, binary, remove, err := program(ctx)
 	if err != nil {
 		stop()
 		return ctx, "", "", func() {}, err
 	}
-	done = func() { remove(); stop() }
-	binary, err = cluster.Build(ctx, dir)
-	return ctx, dir, binary, done, err
+	return ctx, dir, binary, func() { remove(); stop() }, nil
 }
 
 // herd has a control plane away for 10 s and back with a new version, before 20 gateways with a subscription each and with one
--- a/tools/measure/main.go
+++ b/tools/measure/main.go
@@ -14,6 +14,8 @@
 //	go run ./tools/measure herd    what a control plane sees when it returns before 20 gateways: a subscription each, and one for all
 //	go run ./tools/measure quorum  traffic at the voters and time to take over for 10, 50 and 200 members
 //	go run ./tools/measure path    requests with a fleet and without one; a minute without a quorum
+//	go run ./tools/measure capacity [PART] [-full] [-sizes N,N]  the figures of docs/CAPACITY.md by slopes: members, quorum, orders,
+//	                               subscription, gateway, node, module, limits
 //
 // Experiments on loopback are robindrum lab run --engine loopback.
 //
@@ -92,10 +94,12 @@
 		err = quorumTraffic()
 	case "path":
 		err = path(min(*requests, 200000), min(*rounds, 20))
+	case "capacity":
+		err = capacity(flag.Args()[1:])
 	case "child": // what is measured
 		err = child(flag.Arg(1), flag.Args()[2:])
 	default:
-		err = errors.New("want proxy, push, flood, size, zone, zone-big, overload, duties, drains, releases, worth, herd, quorum or path")
+		err = errors.New("want proxy, push, flood, size, zone, zone-big, overload, duties, drains, releases, worth, herd, quorum, path or capacity")
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "measure:", err)
@@ -166,6 +170,15 @@
 		_, _ = io.Copy(io.Discard, os.Stdin)
 		close(ended)
 	}()
+	if len(args) == 1 && strings.HasPrefix(args[0], "@") { // too long for a command line
+		text, err := os.ReadFile(args[0][1:])
+		if err != nil {
+			return err
+		}
+		if args = []string{string(text)}; kind == "arrowhitch" {
+			args = strings.Fields(args[0])
+		}
+	}
 	var end func()
 	switch kind {
 	case "reverse":
