--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -76,6 +76,11 @@
 // New opens the address and, where this process is a voter, its folder. A folder that cannot be used keeps it from voting
 // and from nothing else: see NoVote. Start has it speak.
 func New(c *config.Fleet, zone, version string, state members.State, log *slog.Logger) (*Fleet, error) {
+	return NewOn(nil, c, zone, version, state, log)
+}
+
+// NewOn is New on a network of the caller's; nil: this machine's sockets.
+func NewOn(network peer.Network, c *config.Fleet, zone, version string, state members.State, log *slog.Logger) (*Fleet, error) {
 	via := map[string]string{}
 	for _, v := range c.Via {
 		via[v.Member] = v.At
@@ -86,7 +91,7 @@
 	f.life, f.end = context.WithCancel(context.Background())
 	f.voting, f.resign = context.WithCancel(context.Background())
 	var err error
-	if f.node, err = peer.Listen(peer.Options{Fleet: c.Name, Address: c.Address, Via: via, Log: log}); err != nil {
+	if f.node, err = peer.Listen(peer.Options{Fleet: c.Name, Address: c.Address, Via: via, Network: network, Log: log}); err != nil {
 		return nil, err
 	}
 	voters := make([]quorum.Voter, 0, len(c.Quorum.Voters))
@@ -266,6 +271,7 @@
 	NoVote    string           `json:"no_vote,omitempty"`
 	Duties    []duty.Status    `json:"duties"`
 	Sent      int64            `json:"sent_bytes"`
+	Traffic   peer.Traffic     `json:"traffic"`
 	// Stale says what needs the quorum and has not had it for longer than a lease.
 	Stale string        `json:"stale,omitempty"`
 	Now   time.Duration `json:"now"`
@@ -276,7 +282,7 @@
 // Status tells how it stands.
 func (f *Fleet) Status() Status {
 	s := Status{Name: f.conf.Name, Self: f.list.Self(), Members: f.list.Members(), Conflicts: f.list.Conflicts(), Contact: f.client.Contact(), NoVote: f.NoVote(),
-		Duties: f.runner.Status(), Sent: f.node.Sent(), Now: f.now()}
+		Duties: f.runner.Status(), Sent: f.node.Sent(), Traffic: f.node.Traffic(), Now: f.now()}
 	slices.SortFunc(s.Duties, func(a, b duty.Status) int { return strings.Compare(a.Name, b.Name) })
 	if f.server != nil {
 		v := f.server.Status()
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -41,7 +41,27 @@
 	Address string // host:port to listen on; port 0: any
 	// Via gives other addresses by which peers are reached from here, by their own one (port forwarding, a tunnel).
 	Via map[string]string
-	Log *slog.Logger
+	// Network is what the address is on; nil: this machine's sockets.
+	Network Network
+	Log     *slog.Logger
+}
+
+// Network is how a process reaches others, and is reached: sockets, or a stand-in's. Its listeners' addresses are a *net.TCPAddr.
+type Network interface {
+	Listen(addr string) (net.Listener, error)
+	ListenPacket(addr *net.UDPAddr) (net.PacketConn, error)
+	Dial(ctx context.Context, addr string) (net.Conn, error)
+}
+
+// sockets are this machine's.
+type sockets struct{}
+
+func (sockets) Listen(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
+func (sockets) ListenPacket(addr *net.UDPAddr) (net.PacketConn, error) {
+	return net.ListenUDP("udp", addr)
+}
+func (sockets) Dial(ctx context.Context, addr string) (net.Conn, error) {
+	return (&net.Dialer{Timeout: dialTime}).DialContext(ctx, "tcp", addr)
 }
 
 // Node is a process's place among its fleet. Its methods may be called by several goroutines at once; handlers are
@@ -49,7 +69,7 @@
 type Node struct {
 	opt     Options
 	tcp     net.Listener
-	udp     *net.UDPConn
+	udp     net.PacketConn
 	mux     *http.ServeMux
 	server  *http.Server
 	client  *http.Client
@@ -57,6 +77,7 @@
 	open    atomic.Int64
 	sent    atomic.Int64
 	traffic counters
+	cut     atomic.Pointer[func(addr string) bool]
 	mu      sync.Mutex
 	streams map[net.Conn]struct{}
 	via     map[string]*net.UDPAddr
@@ -66,13 +87,16 @@
 // Listen opens the address, for TCP and UDP.
 func Listen(opt Options) (*Node, error) {
 	n := &Node{opt: opt, mux: http.NewServeMux(), done: make(chan struct{}), streams: map[net.Conn]struct{}{}, via: map[string]*net.UDPAddr{}}
+	if n.opt.Network == nil {
+		n.opt.Network = sockets{}
+	}
 	var err error
 	for range 16 { // a port that is free for TCP may be taken for UDP
-		if n.tcp, err = net.Listen("tcp", opt.Address); err != nil {
+		if n.tcp, err = n.opt.Network.Listen(opt.Address); err != nil {
 			return nil, fmt.Errorf("fleet: %w", err)
 		}
 		at := n.tcp.Addr().(*net.TCPAddr)
-		if n.udp, err = net.ListenUDP("udp", &net.UDPAddr{IP: at.IP, Port: at.Port}); err == nil {
+		if n.udp, err = n.opt.Network.ListenPacket(&net.UDPAddr{IP: at.IP, Port: at.Port}); err == nil {
 			break
 		}
 		n.tcp.Close()
@@ -174,13 +198,33 @@
 // Mux takes handlers of other kinds.
 func (n *Node) Mux() *http.ServeMux { return n.mux }
 
+// errCut is that a rig keeps this process from a peer.
+var errCut = errors.New("cut off")
+
+// Cut keeps this process from each address for which cut holds, from now on: packets there are lost, and connections come to nothing;
+// what is open stays. nil: from none. It is for rigs that part a fleet.
+func (n *Node) Cut(cut func(addr string) bool) {
+	if cut == nil {
+		n.cut.Store(nil)
+		return
+	}
+	n.cut.Store(&cut)
+}
+
+func (n *Node) reaches(addr string) bool {
+	cut := n.cut.Load()
+	return cut == nil || !(*cut)(addr)
+}
+
 // dial connects to a peer, by the way that is set for it.
 func (n *Node) dial(ctx context.Context, addr string) (net.Conn, error) {
+	if !n.reaches(addr) {
+		return nil, fmt.Errorf("%s: %w", addr, errCut)
+	}
 	if via, ok := n.opt.Via[addr]; ok {
 		addr = via
 	}
-	d := net.Dialer{Timeout: dialTime}
-	c, err := d.DialContext(ctx, "tcp", addr)
+	c, err := n.opt.Network.Dial(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
@@ -330,7 +374,10 @@
 	n.sent.Add(int64(len(b)))
 	n.traffic.packets.Add(1)
 	n.traffic.packetBytes.Add(int64(len(b)))
-	_, err = n.udp.WriteToUDP(b, to)
+	if !n.reaches(addr) {
+		return nil // as what is lost on the way
+	}
+	_, err = n.udp.WriteTo(b, to)
 	return err
 }
 
@@ -356,7 +403,7 @@
 }
 
 // ReadPacket waits for the next packet. It is for one goroutine; Close ends it.
-func (n *Node) ReadPacket(b []byte) (int, net.Addr, error) { return n.udp.ReadFromUDP(b) }
+func (n *Node) ReadPacket(b []byte) (int, net.Addr, error) { return n.udp.ReadFrom(b) }
 
 // Private tells whether an address is one that only a private network leads to.
 func Private(address string) bool {
--- a/internal/peer/traffic.go
+++ b/internal/peer/traffic.go
@@ -7,11 +7,12 @@
 
 // Traffic is what a Node has sent and got since it began, as bytes of payload: without the headers of IP, TCP and UDP.
 type Traffic struct {
-	Packets     int64 // UDP packets sent
-	PacketBytes int64 // what they carried
-	Calls       int64 // made here
-	Streams     int64 // opened here, or tried
-	Out, In     int64 // bytes over TCP of calls and streams, made here or taken, with their HTTP heads
+	Packets     int64 `json:"packets"`      // UDP packets sent
+	PacketBytes int64 `json:"packet_bytes"` // what they carried
+	Calls       int64 `json:"calls"`        // made here
+	Streams     int64 `json:"streams"`      // opened here, or tried
+	Out         int64 `json:"out"`          // bytes over TCP of calls and streams, made here or taken, with their HTTP heads
+	In          int64 `json:"in"`
 }
 
 // Minus is what came since before.
