hollow: the tests of slopes run on a clock of their own; outages of many members

Seen: on four processors beside the other packages' tests and a build TestMembershipBySlopes failed (6.7 packets of a member in a probe's time against 2): all three idle windows held doubts, as members were late. It had depended on the machine all along. Ruled out: more plays (each window is as busy), slower probes (twice the time, and still a matter of luck). Change: members on memnet in a testing/synctest bubble; nobody is doubted there but for a cause, and 48 members take seconds.

--- a/internal/standin/hollow/bounds.go
+++ b/internal/standin/hollow/bounds.go
@@ -35,6 +35,19 @@
 	return Need{Memory: n*memberBytes + n*n*pairBytes + int64(processes)*processBytes, Processes: processes, Files: 8*n + 200}
 }
 
+// Of members on a network and a clock of their own, which are never behind with what they are told: what lives at the most, while all tell
+// each other of their joins. The collector's headroom is bounded by a limit of memory instead.
+const (
+	simulatedMemberBytes = 800 << 10
+	simulatedPairBytes   = 2100
+)
+
+// SimulatedNeed is what so many hollow members on a network in memory would take.
+func SimulatedNeed(members int) Need {
+	n := int64(members)
+	return Need{Memory: n*simulatedMemberBytes + n*n*simulatedPairBytes}
+}
+
 // Refuse gives why a size is not tried on this machine: half of its memory, 200 processes and the descriptors of one process bound it.
 func (n Need) Refuse() error { return n.refuse(machineMemory(), mostFiles()) }
 
--- a/internal/standin/hollow/host.go
+++ b/internal/standin/hollow/host.go
@@ -20,7 +20,7 @@
 // host is a part of loopback that one rig of one process has: 250 addresses for each of 16 third octets.
 type host struct {
 	net   int
-	claim net.Listener
+	claim net.Listener // nil: of a network that nobody else is on
 }
 
 // newHost claims a part that nobody else has, also no other process.
@@ -41,4 +41,8 @@
 	return fmt.Sprintf("127.%d.%d.%d:%d", h.net, i/250, 1+i%250, port)
 }
 
-func (h *host) close() { h.claim.Close() }
+func (h *host) close() {
+	if h.claim != nil {
+		h.claim.Close()
+	}
+}
--- /dev/null
+++ b/internal/standin/hollow/outage_test.go
@@ -0,0 +1,71 @@
+package hollow
+
+import (
+	"testing"
+	"time"
+
+	"arrowhitch/internal/members"
+)
+
+// mostLostBytes bounds what a member sends for each one that is lost, or is back, beyond what it sends idle.
+const mostLostBytes = 1800
+
+// Some are killed and come back, and two halves are kept from each other: all that run know of it, and all know all in the end.
+func TestOutages(t *testing.T) {
+	if plainly(t) {
+		return
+	}
+	apart(t, func(t *testing.T, opt Options) {
+		opt.Members = 20
+		rows, err := MeasureOutages(t.Context(), opt, []Outage{{Name: "rack", Part: 0.1}, {Name: "regions", Part: 0.5, Apart: true}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for i, lost := range []int{2, 10} {
+			r := rows[i]
+			t.Logf("%+v", r)
+			if r.Lost != lost || r.Dead.Lacking > 0 || r.DeadBytes > mostLostBytes || r.BackBytes > mostLostBytes {
+				t.Errorf("%+v: want %d lost, all known, %d bytes for each at the most", r, lost, mostLostBytes)
+			}
+		}
+	})
+}
+
+// A fleet that is kept in two parts is not taken for one that has come together, nor one that is whole for two parts.
+func TestPartsAreTold(t *testing.T) {
+	if plainly(t) {
+		return
+	}
+	apart(t, func(t *testing.T, opt Options) {
+		opt.Members = 5
+		f, err := New(opt)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer f.Close()
+		if err := f.Start(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if s, err := f.Settle(t.Context(), 5*time.Minute, 0); err != nil || s.Lacking > 0 {
+			t.Fatal(s, err)
+		}
+		alive := func(m members.Member) bool { return m.State != members.Dead }
+		side := f.part(2)
+		if len(side) != 2 || side[f.members[0].Address] {
+			t.Errorf("sides %v", side)
+		}
+		if n := f.Lacking(alive); n != 0 {
+			t.Errorf("%d pairs lack each other before anybody can know of the parts", n)
+		}
+		wait := func(what string, pairs int) {
+			if err := f.wait(t.Context(), 5*time.Minute, func() bool { return f.Lacking(alive) == pairs }); err != nil {
+				t.Errorf("%s: %v, %d pairs lack each other", what, err, f.Lacking(alive))
+			}
+		}
+		wait("each of two sides takes the other for dead", 2*2*3)
+		for _, m := range f.members {
+			m.Node().Cut(nil)
+		}
+		wait("all know all again", 0)
+	})
+}
--- /dev/null
+++ b/internal/standin/hollow/race_on_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package hollow
+
+const underRace = true
