measure capacity: live heap, descriptors, voters' bytes; an interrupt is tested

A child tells what lives on its heap behind a collection; voters tell all that they send, from which the answers to the askers are taken; the orders' rig has a gateway that does not vote; one more hollow gateway starts beside the holder of the subscription. An interrupt had been tried by hand alone. Measured: TestCapacityIsInterrupted (a process of the tool with a gateway under way) and TestChildTellsItsHeap under -race; the first one is seen to fail where the figures are not printed on the way out.

--- a/internal/standin/hollow/fleet.go
+++ b/internal/standin/hollow/fleet.go
@@ -163,6 +163,15 @@
 	return nil
 }
 
+// More has one more start.
+func (f *Fleet) More() (*Member, error) {
+	f.mu.Lock()
+	n := len(f.members)
+	f.mu.Unlock()
+	m := f.add(n)
+	return m, f.start(m, "c0")
+}
+
 // up are those that run.
 func (f *Fleet) up() (l []*Member) {
 	f.mu.Lock()
--- a/internal/standin/hollow/gateways.go
+++ b/internal/standin/hollow/gateways.go
@@ -142,6 +142,22 @@
 	return 0
 }
 
+// First is when a gateway took its first change, on fleet.Clock, and the bytes of all pushes that have come to it; 0: it has taken none.
+func (g *Gateways) First(name string) (at time.Duration, bytes int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	t := g.all[name]
+	if t == nil {
+		return 0, 0
+	}
+	for _, took := range t.taken {
+		if at == 0 || took < at {
+			at = took
+		}
+	}
+	return at, t.bytes
+}
+
 // News is what the gateways took of the subscription since a reading of fleet.Clock: when each took its last change, sorted, and
 // how many took none; the pushes and their bytes are all that came.
 func (g *Gateways) News(since time.Duration) (took []time.Duration, none, wholes, pushes int, bytes int64) {
--- a/internal/standin/hollow/hollow_test.go
+++ b/internal/standin/hollow/hollow_test.go
@@ -251,6 +251,12 @@
 	if took, none, wholes, pushes, _ := g.News(0); len(took) != 1 || none != 1 || wholes != 1 || pushes != 5 {
 		t.Errorf("%v took, %d none, %d wholes, %d pushes", took, none, wholes, pushes)
 	}
+	if at, bytes := g.First(to.Name); at == 0 || bytes == 0 {
+		t.Errorf("its first at %v, %d bytes", at, bytes)
+	}
+	if at, _ := g.First(from.Name); at != 0 {
+		t.Errorf("one that was told nothing took its first at %v", at)
+	}
 	if _, calls := g.Rounds(0); calls != 2 {
 		t.Errorf("%d rounds", calls)
 	}
--- a/internal/standin/hollow/members.go
+++ b/internal/standin/hollow/members.go
@@ -92,8 +92,8 @@
 	if r.News, err = f.know(ctx, limit, one.Name, func(m members.Member, _ bool) bool { return m.State == members.Draining }); err != nil {
 		return r, err
 	}
-	more := f.add(n)
-	if err := f.start(more, "c0"); err != nil {
+	more, err := f.More()
+	if err != nil {
 		return r, err
 	}
 	if r.Come, err = f.know(ctx, limit, more.Name, func(_ members.Member, known bool) bool { return known }); err != nil {
--- a/tools/measure/capacity_fleet.go
+++ b/tools/measure/capacity_fleet.go
@@ -46,6 +46,16 @@
 	return cpu, resident, files
 }
 
+// spoken is what some nodes have sent, each to all others, calls, streams and packets.
+func spoken(nodes []*cluster.Node) (bytes int64) {
+	for _, n := range nodes {
+		if s, err := n.Fleet(); err == nil {
+			bytes += s.Traffic.Sent()
+		}
+	}
+	return bytes
+}
+
 func applied(c *cluster.Cluster) (n uint64) {
 	for _, v := range c.Nodes {
 		if s, err := v.Fleet(); err == nil && s.Vote != nil {
@@ -135,10 +145,11 @@
 	}
 	cpu0, _, _ := spent(c.Nodes)
 	asked0, failed0 := a.Asked()
-	e0, t0, began := applied(c), a.Traffic(), time.Now()
+	e0, t0, v0, began := applied(c), a.Traffic(), spoken(c.Nodes), time.Now()
 	if err := idleFor(ctx, window); err != nil {
 		return err
 	}
+	v1 := spoken(c.Nodes)
 	cpu1, resident, files := spent(c.Nodes)
 	asked1, failed1 := a.Asked()
 	e1, t, d := applied(c), a.Traffic().Minus(t0), time.Since(began).Seconds()*10/lease.Seconds() // as with a lease of 10 s
@@ -147,6 +158,8 @@
 	s.put("entries agreed a second", float64(e1-e0)/d, 0)
 	s.put("bytes a second at the voters, both ways", float64(t.Out+t.In)/d, 0)
 	s.put("bytes a second of an asker, both ways", float64(t.Out+t.In)/d/float64(n), boundBytes)
+	// What they send is the answers, which the askers got, and what they tell each other: the log, and membership of so few.
+	s.put("bytes a second between the voters", float64(v1-v0-t.In)/d, 0)
 	s.put("CPU of all voters, % of a core", 100*(cpu1-cpu0).Seconds()/d, 0)
 	s.put("resident, the largest voter, MB", float64(resident)/1e6, 0)
 	s.put("descriptors, the most at a voter", float64(files), 0)
@@ -180,7 +193,7 @@
 		return err
 	}
 	defer remove()
-	fmt.Printf("3 voters (processes), a heartbeat of %v; each gateway a hollow one, all in this process\n", beat)
+	fmt.Printf("3 voters and a gateway that does not vote (processes), a heartbeat of %v; each other gateway a hollow one, all in this process\n", beat)
 	for _, n := range sizes {
 		if err := hollow.MembersNeed(n, 3).Refuse(); err != nil {
 			return fmt.Errorf("%d gateways: %w", n, err)
@@ -236,7 +249,7 @@
 	if err != nil {
 		return err
 	}
-	c, err := cluster.New(cluster.Options{Binary: binary, Dir: folder, Nodes: 3, Sites: []string{"s"}, Lease: 10 * time.Second, Beat: beat, Probe: beat})
+	c, err := cluster.New(cluster.Options{Binary: binary, Dir: folder, Nodes: 4, Voters: 3, Sites: []string{"s"}, Lease: 10 * time.Second, Beat: beat, Probe: beat})
 	if err != nil {
 		return err
 	}
@@ -310,6 +323,8 @@
 	if calls, entries, bytes, cpu, p50, p99, err = look(); err != nil {
 		return err
 	}
+	_, _, files := spent(c.Nodes[3:])
+	s.put("descriptors of a gateway that does not vote", float64(files), 0)
 	s.put("one out: calls of the leader a second", calls/k, 0)
 	s.put("one out: bytes it sends a second", bytes/k, boundBytes)
 	s.put("one out: CPU of the leader, %", cpu/k, boundCPU)
@@ -444,6 +459,17 @@
 		return err
 	}
 	whole, _, w1, _, b1 := g.News(at)
+	began := fleet.Clock()
+	more, err := f.More()
+	if err != nil {
+		return err
+	}
+	var first time.Duration
+	var startBytes int64
+	if err := cluster.Await(ctx, "the whole at a gateway that has started", 60*time.Second, func() bool { first, startBytes = g.First(more.Name); return first > 0 }); err != nil {
+		return err
+	}
+	s.put(variant+", a gateway's start: bytes to it, MB", float64(startBytes)/1e6, 0)
 	s.put(variant+", one endpoint: bytes to a gateway", oneBytes, 0)
 	s.put(variant+", one endpoint: CPU of the site's processes, ms", float64(oneCPU.Milliseconds()), 0)
 	s.put(variant+", all clusters: bytes to a gateway", allBytes, 0)
@@ -452,6 +478,7 @@
 	last := func(l []time.Duration) string {
 		return fmt.Sprintf("%v, p99 %v, last %v", l[len(l)/2].Round(time.Millisecond), l[len(l)*99/100].Round(time.Millisecond), l[len(l)-1].Round(time.Millisecond))
 	}
-	fmt.Printf("%5d gateways, %s: one endpoint at them after %s; all clusters after %s; a new holder's whole (%d of them) after %s\n", n, variant, last(one), last(all), w1-w0, last(whole))
+	fmt.Printf("%5d gateways, %s: one endpoint at them after %s; all clusters after %s; a new holder's whole (%d of them) after %s; at one that starts after %v\n", n, variant, last(one), last(all), w1-w0, last(whole),
+		(first - began).Round(time.Millisecond))
 	return nil
 }
--- a/tools/measure/capacity_node.go
+++ b/tools/measure/capacity_node.go
@@ -236,11 +236,21 @@
 	after, _ := g.usage()
 	_, end := g.usage()
 	_, empty := small.usage()
+	lives, err := g.heap()
+	if err != nil {
+		return fmt.Errorf("its heap: %w", err)
+	}
+	livesEmpty, err := small.heap()
+	if err != nil {
+		return fmt.Errorf("the small one's heap: %w", err)
+	}
 	s.size(n)
 	s.put("resident with lists and routes, MB", float64(lists)/1e6, 0)
 	s.put("resident with tenants seen, MB", float64(tenanted)/1e6, 0)
 	s.put("resident behind all of it, MB", float64(end)/1e6, 0)
 	s.put("the same, over a gateway with 10 endpoints", float64(end-empty)/1e6, boundMemory)
+	s.put("live heap behind all of it, MB", float64(lives)/1e6, 0)
+	s.put("live heap over a gateway with 10 endpoints", float64(lives-livesEmpty)/1e6, boundMemory)
 	s.put("CPU to take all at the start, ms", float64(took.Milliseconds()), 0)
 	s.put("CPU of a changed cluster, ms", float64((after-before).Microseconds())/1000/float64(pushes), 0)
 	s.put("CPU of one change a second, %", float64((after-before).Microseconds())/1000/float64(pushes)/10, boundCPU)
--- a/tools/measure/capacity_test.go
+++ b/tools/measure/capacity_test.go
@@ -1,11 +1,111 @@
 package main
 
 import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
 	"math"
+	"os"
+	"os/exec"
+	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
+
+	"arrowhitch/internal/fakes"
 )
 
+// TestMain is the program itself where it is started as a child, or to be interrupted.
+func TestMain(m *testing.M) {
+	if len(os.Args) > 1 && (os.Args[1] == "child" || os.Args[1] == "capacity") {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// An interrupt in the middle: what was measured is printed, all processes end, and so does every file.
+func TestCapacityIsInterrupted(t *testing.T) {
+	dir := t.TempDir()
+	cmd := exec.CommandContext(t.Context(), os.Args[0], "capacity", "gateway", "-sizes", "1,2,90,100")
+	cmd.Env = append(os.Environ(), "TMPDIR="+dir)
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var said bytes.Buffer
+	cmd.Stderr = &said
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	r := bufio.NewReader(out)
+	for {
+		line, err := r.ReadString('\n')
+		if err != nil {
+			t.Fatalf("it ended by itself: %v, %s", err, said.String())
+		}
+		if strings.HasPrefix(line, "    2 clusters") {
+			break
+		}
+	}
+	if n := len(children(t, dir)); n == 0 {
+		t.Fatal("no process to end is running")
+	}
+	if err := cmd.Process.Signal(syscall.SIGINT); err != nil {
+		t.Fatal(err)
+	}
+	rest, err := io.ReadAll(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Wait(); err == nil || !strings.Contains(said.String(), "context canceled") {
+		t.Errorf("it ended with %v and said %q", err, said.String())
+	}
+	if !strings.Contains(string(rest), "resident with lists and routes, MB") || !strings.Contains(string(rest), "at 720") {
+		t.Errorf("what was measured is not printed: %s", rest)
+	}
+	fakes.Eventually(t, "all processes to end", func() bool { return len(children(t, dir)) == 0 })
+	if left, err := os.ReadDir(dir); err != nil || len(left) > 0 {
+		t.Errorf("left behind: %v, %v", left, err)
+	}
+}
+
+// children are the processes that were given a file below a folder.
+func children(t *testing.T, dir string) (pids []string) {
+	t.Helper()
+	all, err := filepath.Glob("/proc/[0-9]*/cmdline")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, path := range all {
+		if line, err := os.ReadFile(path); err == nil && bytes.Contains(line, []byte(fmt.Sprint("@", dir))) {
+			pids = append(pids, filepath.Base(filepath.Dir(path)))
+		}
+	}
+	return pids
+}
+
+// A child says what lives on its heap, and ends with its input.
+func TestChildTellsItsHeap(t *testing.T) {
+	p, err := start("arrowhitch", "127.0.0.1:9")
+	if err != nil {
+		t.Fatal(err)
+	}
+	n, err := p.heap()
+	if err != nil || n < 100_000 || n > 1<<30 {
+		t.Errorf("%d bytes, %v", n, err)
+	}
+	ended := make(chan struct{})
+	go func() { p.stop(); close(ended) }()
+	select {
+	case <-ended:
+	case <-time.After(10 * time.Second):
+		t.Error("it does not end")
+	}
+}
+
 // What cannot be meant is refused before anything starts, with what is wanted.
 func TestCapacityRefusesArguments(t *testing.T) {
 	for text, want := range map[string]string{
--- a/tools/measure/main.go
+++ b/tools/measure/main.go
@@ -114,7 +114,8 @@
 // process is a child that said where it listens.
 type process struct {
 	cmd  *exec.Cmd
-	in   io.Closer
+	in   io.WriteCloser
+	out  *bufio.Reader
 	addr []string
 }
 
@@ -136,11 +137,12 @@
 	if err := cmd.Start(); err != nil {
 		return nil, err
 	}
-	line, err := bufio.NewReader(out).ReadString('\n')
+	r := bufio.NewReader(out)
+	line, err := r.ReadString('\n')
 	if err != nil {
 		return nil, fmt.Errorf("%s did not start: %w", kind, err)
 	}
-	return &process{cmd, in, strings.Fields(line)}, nil
+	return &process{cmd, in, r, strings.Fields(line)}, nil
 }
 
 // stop ends it.
@@ -149,6 +151,21 @@
 	_ = p.cmd.Wait()
 }
 
+// heap is what lives in it, behind a collection, in bytes: without what the collector keeps free.
+func (p *process) heap() (n int64, err error) {
+	if _, err := io.WriteString(p.in, heapQuestion+"\n"); err != nil {
+		return 0, err
+	}
+	line, err := p.out.ReadString('\n')
+	if err != nil {
+		return 0, err
+	}
+	return strconv.ParseInt(strings.TrimSpace(line), 10, 64)
+}
+
+// heapQuestion is answered by a child.
+const heapQuestion = "heap"
+
 // usage is the CPU time that it has used and its resident memory.
 func (p *process) usage() (cpu time.Duration, resident int64) { return usage(p.cmd.Process.Pid) }
 
@@ -167,8 +184,15 @@
 	defer stop()
 	ended := make(chan struct{})
 	go func() {
-		_, _ = io.Copy(io.Discard, os.Stdin)
-		close(ended)
+		defer close(ended)
+		for asked := bufio.NewScanner(os.Stdin); asked.Scan(); {
+			if asked.Text() == heapQuestion {
+				var m runtime.MemStats
+				runtime.GC()
+				runtime.ReadMemStats(&m)
+				fmt.Println(m.HeapAlloc)
+			}
+		}
 	}()
 	if len(args) == 1 && strings.HasPrefix(args[0], "@") { // too long for a command line
 		text, err := os.ReadFile(args[0][1:])
