measure capacity orders: a release of a configuration over hollow gateways, by its waves

A row of docs/CAPACITY.md that was marked as not measured. Hollow gateways say in each round that they have served some more requests (Gateways.Show), as waves are judged by that; the voters stand in their zone, so that no wave is of processes that serve nothing alone. TestGatewaysTakeOrdersAndNews holds what they show.

--- a/internal/standin/hollow/gateways.go
+++ b/internal/standin/hollow/gateways.go
@@ -11,14 +11,16 @@
 	"arrowhitch/internal/fleet"
 	"arrowhitch/internal/order"
 	"arrowhitch/internal/peer"
+	"arrowhitch/internal/release"
 	"arrowhitch/internal/share"
 )
 
 // Gateways are hollow members that take orders and the subscription's news as gateways do, and serve nothing. Prepare is for
 // Options. Its methods may be called by several goroutines at once.
 type Gateways struct {
-	mu  sync.Mutex
-	all map[string]*taker
+	mu    sync.Mutex
+	all   map[string]*taker
+	shows bool
 }
 
 // mostTimes are kept of what one was told.
@@ -33,6 +35,7 @@
 	// Under g.mu:
 	rounds  []time.Duration          // when it was told of orders, on fleet.Clock
 	drained map[string]time.Duration // when it first heard that an order has it out
+	served  uint64                   // requests that it says it has served
 	share   *share.Share
 	taken   map[[2]uint64]time.Duration // when it took a change, by token and number
 	wholes  int                         // lists taken as a whole
@@ -43,6 +46,13 @@
 // NewGateways makes none: Prepare adds them.
 func NewGateways() *Gateways { return &Gateways{all: map[string]*taker{}} }
 
+// Show has them say in each round that they have served some more requests, all alike, as a release is judged by that.
+func (g *Gateways) Show() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.shows = true
+}
+
 // The path of the subscription's news is the gateway's own (internal/gateway), whose whole front would come with its code.
 const sharePath = "/fleet/v1/xds"
 
@@ -67,6 +77,12 @@
 		t.rounds = append(t.rounds, now)
 	}
 	r := fleet.Report{Version: v.Version, Serving: true, InHand: map[string]int{}}
+	if t.g.shows {
+		const more, took, memory = 100, 10 * time.Millisecond, 50 << 20
+		t.served += more
+		r.Figures = release.Figures{Taken: t.served, Served: t.served, Seconds: float64(t.served) * took.Seconds(), Memory: memory,
+			Times: append(make([]uint64, release.Bucket(took)), t.served)}
+	}
 	for _, o := range v.Out {
 		if o.State.Out() && o.Target.HasGateway(t.name, t.m.Site, "z0") {
 			if t.drained[o.ID] == 0 {
--- a/internal/standin/hollow/hollow_test.go
+++ b/internal/standin/hollow/hollow_test.go
@@ -224,6 +224,13 @@
 	if r := g.all[from.Name].Ordered(order.View{Version: 3, Out: []order.Order{x}}, false); !r.Serving || g.Drained(from.Name, "x") != 0 {
 		t.Errorf("%+v", r)
 	}
+	if r := g.all[to.Name].Ordered(order.View{Version: 3}, false); r.Figures.Taken != 0 {
+		t.Errorf("it shows %+v before it is to", r.Figures)
+	}
+	g.Show()
+	if a, b := g.all[to.Name].Ordered(order.View{Version: 3}, false).Figures, g.all[to.Name].Ordered(order.View{Version: 3}, false).Figures; a.Taken == 0 || b.Taken != 2*a.Taken || b.Served != b.Taken {
+		t.Errorf("it shows %+v, then %+v", a, b)
+	}
 	push := func(p share.Push) (v share.Verdict) {
 		t.Helper()
 		var r struct {
@@ -257,7 +264,7 @@
 	if at, _ := g.First(from.Name); at != 0 {
 		t.Errorf("one that was told nothing took its first at %v", at)
 	}
-	if _, calls := g.Rounds(0); calls != 2 {
+	if _, calls := g.Rounds(0); calls != 5 {
 		t.Errorf("%d rounds", calls)
 	}
 }
--- a/tools/measure/capacity_fleet.go
+++ b/tools/measure/capacity_fleet.go
@@ -249,7 +249,9 @@
 	if err != nil {
 		return err
 	}
-	c, err := cluster.New(cluster.Options{Binary: binary, Dir: folder, Nodes: 4, Voters: 3, Sites: []string{"s"}, Lease: 10 * time.Second, Beat: beat, Probe: beat})
+	const text = "clusters: [{name: c, endpoints: [{address: \"127.0.0.1:9\"}]}]\nroutes: [{match: {prefix: /}, cluster: c}]\n"
+	c, err := cluster.New(cluster.Options{Binary: binary, Dir: folder, Nodes: 4, Voters: 3, Sites: []string{"s"}, Lease: 10 * time.Second, Beat: beat, Probe: beat,
+		File: func(int) string { return text + "zone: z0\n" }}) // as the hollow ones: a release's waves keep zones apart, and these serve nothing
 	if err != nil {
 		return err
 	}
@@ -338,11 +340,67 @@
 		return err
 	}
 	s.put("the same with 20,000 endpoints", float64(len(seen)), 0)
+	if _, err := c.Nodes[0].Order("undrain", order.Order{ID: "capacity"}); err != nil {
+		return fmt.Errorf("undrain: %w", err)
+	}
+	if err := releaseWaves(ctx, s, c, g, n, beat); err != nil {
+		return fmt.Errorf("a release: %w", err)
+	}
 	fmt.Printf("%s; an order reaches its gateway after %v, is done after %v; with it rounds %v, p99 %v apart\n", line, told.Round(time.Millisecond), done.Round(time.Millisecond),
 		p50.Round(time.Millisecond), p99.Round(time.Millisecond))
 	return nil
 }
 
+// releaseWaves has a configuration go over all gateways, by its waves.
+func releaseWaves(ctx context.Context, s *series, c *cluster.Cluster, g *hollow.Gateways, n int, beat time.Duration) error {
+	const text = "routes: [{match: {prefix: /}, cluster: c}, {match: {prefix: /more}, cluster: c}]\n"
+	plan := &release.Plan{ID: "capacity", To: fleet.ConfigDigest([]byte(text)), Owner: "measure", Soak: 2 * beat, Gate: release.Gate{Requests: 50}}
+	g.Show()
+	if err := idleFor(ctx, 8*beat); err != nil { // a round in which nothing was ordered
+		return err
+	}
+	if err := c.Nodes[0].Release(quorum.Command{Op: quorum.Put, Digest: plan.To, Text: text}); err != nil {
+		return err
+	}
+	leader := c.Leader()
+	if leader == nil {
+		return fmt.Errorf("no leader")
+	}
+	cpu0, _, _ := spent([]*cluster.Node{leader})
+	b0, e0, began := spoken([]*cluster.Node{leader}), applied(c), time.Now()
+	if err := c.Nodes[0].Release(quorum.Command{Op: quorum.ReleaseBegin, Plan: plan}); err != nil {
+		return err
+	}
+	waves, why := 0, ""
+	if err := cluster.Await(ctx, "the release to be done", 100*beat, func() bool {
+		l, err := c.Nodes[0].Releases()
+		if err != nil {
+			return false
+		}
+		if l.Current != nil {
+			waves, why = max(waves, len(l.Current.Waves)), fmt.Sprint(l.Current.State, ": ", l.Current.Why)
+			return l.Current.State == release.Done
+		}
+		for _, r := range l.Ended {
+			if r.Plan.ID == plan.ID {
+				waves, why = max(waves, len(r.Waves)), fmt.Sprint(r.State, ": ", r.Why)
+				return r.State == release.Done
+			}
+		}
+		return false
+	}); err != nil {
+		return fmt.Errorf("%w; it stands at %s", err, why)
+	}
+	took := time.Since(began)
+	cpu1, _, _ := spent([]*cluster.Node{leader})
+	d := took.Seconds() / beat.Seconds() // told for a heartbeat of a second
+	s.put("a release: bytes the leader sends a second, with the log", float64(spoken([]*cluster.Node{leader})-b0)/d, 0)
+	s.put("a release: CPU of the leader, %", 100*(cpu1-cpu0).Seconds()/d, boundCPU)
+	s.put("a release: entries a second", float64(applied(c)-e0)/d, 0)
+	fmt.Printf("%5d gateways: a release of a configuration in %d waves took %v, %v of them for soaks of %v\n", n, waves, took.Round(10*time.Millisecond), time.Duration(waves)*plan.Soak, plan.Soak)
+	return nil
+}
+
 // looks is what the leader has agreed on where anything about a gateway or an endpoint has changed.
 func looks(gateways, endpoints int) quorum.Seen {
 	v := quorum.Seen{Version: 1}
