--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -110,9 +110,7 @@
 	}
 }
 
-// ask makes a full exchange with each seed that was not among the members before: the first one that answers names the others, and each
-// of them tells of this process by itself. Danger: told of by one alone, a process stays unknown to somebody until the next full exchange
-// some three times as often, as gossip does not reach all for sure.
+// ask makes a full exchange with each seed that was not among the members before, also where the first one that answers names the others.
 func (l *List) ask(ctx context.Context) {
 	for _, s := range l.absent() {
 		if ctx.Err() != nil {
