--- a/review/cmd/explore/gateway.go
+++ b/review/cmd/explore/gateway.go
@@ -93,3 +93,51 @@
 		}
 	}()
 }
+
+// rerouted shows what becomes of a client's time if a reload replaces the cluster's core while the request's body is still coming: the
+// client sends half of a request that may take 300 ms, the gateway gets SIGHUP with a new file, and the rest follows. The only endpoint
+// never answers.
+func rerouted(root, folder string) error {
+	told := make(chan string, 9)
+	b, err := rig.StartBackend("s-0", func(c net.Conn, a rig.Arrival) bool {
+		told <- a.Expires
+		_, _ = c.Read(make([]byte, 1))
+		return false
+	})
+	if err != nil {
+		return err
+	}
+	listen, err := rig.FreeAddress()
+	if err != nil {
+		return err
+	}
+	g := &gatewayProcess{listen: listen, path: filepath.Join(folder, "gateway.yaml")}
+	targets := []rig.Target{rig.Sapporo("s-0", b.Addr)}
+	g.write(targets)
+	g.start(root, folder)
+	defer g.kill()
+	for _, reload := range []bool{false, true} {
+		c, err := net.Dial("tcp", listen)
+		if err != nil {
+			return err
+		}
+		if _, err := fmt.Fprintf(c, "POST /pay HTTP/1.1\r\nHost: x\r\nX-Expires-In-Ms: 300\r\nContent-Length: 10\r\n\r\nhalf"); err != nil {
+			return err
+		}
+		time.Sleep(200 * time.Millisecond)
+		if reload {
+			g.write(targets)
+			_ = g.cmd.Process.Signal(syscall.SIGHUP)
+			time.Sleep(500 * time.Millisecond)
+		}
+		sent := time.Now()
+		if _, err := fmt.Fprint(c, "andhal"); err != nil {
+			return err
+		}
+		head := make([]byte, 12)
+		_, err = c.Read(head)
+		fmt.Printf("reload %v: the endpoint was told %s ms of 300, the answer %q (error %v) came after %v\n", reload, <-told, head, err, time.Since(sent).Round(time.Millisecond))
+		c.Close()
+	}
+	return nil
+}
--- a/review/cmd/explore/main.go
+++ b/review/cmd/explore/main.go
@@ -61,6 +61,7 @@
 	noCancel = flag.Bool("nocancel", false, "attempts may not be called off")
 	pushed   = flag.Bool("pushed", false, "lists are pushed")
 	gateway  = flag.Bool("gateway", false, "run the gateway in place of the node")
+	reroute  = flag.Bool("reroute", false, "only show a reload of the gateway while a request's body is coming")
 	badRate  = flag.Int("bad", 0, "bad clients a second")
 	rate     = flag.Int("rate", 150, "requests a second")
 	duration = flag.Duration("for", 30*time.Second, "length")
@@ -448,6 +449,12 @@
 	flag.Parse()
 	folder, _ := os.MkdirTemp("", "explore")
 	defer func() { _ = os.RemoveAll(folder) }()
+	if *reroute {
+		if err := rerouted(*root, folder); err != nil {
+			panic(err)
+		}
+		return
+	}
 	type back struct {
 		name string
 		l    net.Listener
--- a/review/rig/backend.go
+++ b/review/rig/backend.go
@@ -16,6 +16,8 @@
 	Key  string
 	Body []byte
 	At   time.Time // when its last byte was read
+	// Expires is its X-Expires-In-Ms.
+	Expires string
 }
 
 // Answer is the answer that a sound backend gives to the request with an id.
@@ -74,7 +76,7 @@
 		if err != nil {
 			return
 		}
-		a := Arrival{ID: r.Header.Get("X-Trace-Id"), Key: r.Header.Get("Idempotency-Key"), Body: body, At: time.Now()}
+		a := Arrival{ID: r.Header.Get("X-Trace-Id"), Key: r.Header.Get("Idempotency-Key"), Body: body, At: time.Now(), Expires: r.Header.Get("X-Expires-In-Ms")}
 		b.mu.Lock()
 		b.arrivals = append(b.arrivals, a)
 		b.mu.Unlock()
