Review: nodes are ended before a run's result is printed

A reader of a script's output that leaves early would have ended the driver before its nodes. The rig now ends them first.

--- a/review/rig/run.go
+++ b/review/rig/run.go
@@ -53,7 +53,6 @@
 		return 2
 	}
 	defer func() { _ = os.RemoveAll(r.Folder) }()
-	defer r.killNodes()
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	result := make(chan error, 1)
@@ -65,10 +64,14 @@
 	case <-time.After(maxRunTime):
 		err = fmt.Errorf("not over after %v", maxRunTime)
 	}
-	return r.verdict(err)
+	verdict, code := r.verdict(err)
+	r.killNodes() // before the output, whose reader may have left
+	fmt.Println(verdict)
+	return code
 }
 
-func (r *Run) verdict(err error) int {
+// verdict records the result of the run and returns it with the exit code.
+func (r *Run) verdict(err error) (verdict string, code int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, n := range r.nodes {
@@ -80,7 +83,7 @@
 		default:
 		}
 	}
-	verdict, code := "the rule held", 0
+	verdict, code = "the rule held", 0
 	switch {
 	case len(r.broken) > 0:
 		verdict, code = fmt.Sprintf("the rule was broken %d times, first: %s", len(r.broken), r.broken[0]), 1
@@ -88,8 +91,7 @@
 		verdict, code = fmt.Sprintf("could not run: %v", err), 2
 	}
 	r.Printf("RESULT (trouble %v): %s", r.Trouble, verdict)
-	fmt.Println(verdict)
-	return code
+	return verdict, code
 }
 
 // Broken records a breach of the rule.
