discovery, proxy: the node logs its calls for the list, retries, refusals and its status

Change: each call has an ID; its start, its end with the reason (silent, broken off within a line, refused, stale), each list with its revision and what drains or is gone are logged. So are retries, attempts that are not served, and requests that are rejected, fail, are abandoned or closed on, at most 20 a second. Every 10 s and at the end the node logs its counters and how old its list is (discovery.Stats). discovery.go is split by concern: calls, watches, counters. Decisions are as before.

--- a/balancer/api.go
+++ b/balancer/api.go
@@ -78,6 +78,25 @@
 	NotSent
 )
 
+var resultNames = [...]string{
+	Served:         "served",
+	ServerError:    "server_error",
+	Rejected:       "rejected",
+	TimedOut:       "timed_out",
+	NotConnected:   "not_connected",
+	ConnectionLost: "connection_lost",
+	Cancelled:      "cancelled",
+	NotSent:        "not_sent",
+}
+
+// String returns the name of the result, as log messages have it.
+func (r Result) String() string {
+	if int(r) < len(resultNames) {
+		return resultNames[r]
+	}
+	return "unknown"
+}
+
 // Outcome describes how an attempt ended. Each Host.Send is followed by exactly one Outcome.
 type Outcome struct {
 	ID         string
--- a/cmd/robindrum-node/main.go
+++ b/cmd/robindrum-node/main.go
@@ -49,6 +49,7 @@
 	killMargin         = 200 * time.Millisecond // time to exit before SIGKILL
 	reuseDelay         = 10 * time.Millisecond  // the platform's endpoints may send a second response some milliseconds after the first
 	maxResponseBytes   = 64 << 10               // the longest body of the platform's protocol
+	statusInterval     = 10 * time.Second       // between two status messages in the log
 )
 
 // loadConfig reads and validates the file at the path in PROXY_CONFIG. Environment variables supply the name and the addresses that
@@ -178,6 +179,7 @@
 		Budget:          budget,
 		HealthCheckPath: "/health/live",
 		LoadReports:     settings.Report != balancer.ReportNone,
+		LogRequests:     true,
 	}
 	if settings.Report == balancer.ReportHealthChecks {
 		options.HealthCheckPath = "/stats"
@@ -234,13 +236,29 @@
 			}
 		}
 	}()
-	<-ctx.Done()
+	logStatus(ctx, n)
+	slog.Info("shutdown begins", "timeout", shutdownTimeout(&settings))
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout(&settings))
 	defer cancel()
 	n.Stop(ctx, listener)
+	n.LogStatus()
 	return nil
 }
 
+// logStatus logs the node's status every statusInterval until ctx ends.
+func logStatus(ctx context.Context, n *proxy.Node) {
+	ticker := time.NewTicker(statusInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			n.LogStatus()
+		}
+	}
+}
+
 func main() {
 	if err := run(); err != nil {
 		fmt.Fprintln(os.Stderr, "robindrum-node:", err)
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -3,17 +3,15 @@
 package discovery
 
 import (
-	"bufio"
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
-	"io"
+	"log/slog"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"robindrum/balancer"
@@ -42,6 +40,7 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	calls   sync.WaitGroup
+	lastID  atomic.Uint64 // of the calls, as their log messages name them
 
 	fetchTimeout     time.Duration // of a snapshot
 	firstLineTimeout time.Duration // until a watch sends its first line or, if lists are pushed, its response head
@@ -51,6 +50,7 @@
 	deliverMu   sync.Mutex // serializes the delivery of updates from concurrent calls
 	revision    uint64
 	hasRevision bool // revision is set
+	stats       Stats
 
 	mu             sync.Mutex // acquired after deliverMu
 	url            string
@@ -61,14 +61,6 @@
 	addressChanged chan struct{} // signals that a pushed list must be watched at a new address
 }
 
-// watchCall is one call that watches the list. Its fields are guarded by Client.mu.
-type watchCall struct {
-	cancel    context.CancelFunc
-	overdue   bool          // a failure was delivered because no line arrived in time
-	firstLine chan struct{} // closed when the first line arrives
-	lastLine  time.Time     // when the last line arrived; zero if none has
-}
-
 // New returns a client of the discovery service at addr; Start starts it. deliver is called with each update, never
 // concurrently. If pushed is true, the service pushes lists, and the client always watches.
 func New(addr string, pushed bool, deliver func(Update)) *Client {
@@ -123,6 +115,7 @@
 		}
 	}
 	update.Kind = balancer.UpdateCached
+	logList(0, c.revision, &update)
 	c.deliver(update)
 	if c.pushed {
 		c.calls.Go(func() { c.followPushed() })
@@ -143,7 +136,10 @@
 		c.mu.Lock()
 		watchCtx := c.addressCtx
 		c.mu.Unlock()
-		if delivered, _ := c.readWatch(watchCtx, nil); delivered {
+		id := c.lastID.Add(1)
+		delivered, reason := c.readWatch(watchCtx, id, nil)
+		slog.Info("watch ended", "call", id, "reason", reason)
+		if delivered {
 			pause = c.minRetryPause
 		}
 		select {
@@ -157,103 +153,6 @@
 	}
 }
 
-// Watch starts a new watch that replaces the current one, or, if on is false, ends the current one. An overdue watch continues
-// in parallel with the new one until either receives a line, because an overloaded service may still respond to it. Watch has
-// no effect if lists are pushed.
-func (c *Client) Watch(on bool) {
-	if c.pushed {
-		return
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if on && c.currentWatch != nil && c.currentWatch.overdue && !c.currentWatch.lastLine.IsZero() { // the overdue watch has received a line since
-		return
-	}
-	previous := c.currentWatch
-	if c.currentWatch = nil; previous != nil && (!on || !previous.overdue) {
-		previous.cancel()
-		previous = nil
-	}
-	if previous != nil || !on {
-		if c.overdueWatch != nil {
-			c.overdueWatch.cancel()
-		}
-		c.overdueWatch = previous
-	}
-	if !on || c.ctx.Err() != nil {
-		return
-	}
-	ctx, cancel := context.WithCancel(c.addressCtx)
-	watch := &watchCall{cancel: cancel, firstLine: make(chan struct{})}
-	c.currentWatch = watch
-	c.calls.Go(func() { c.reportOverdue(ctx, watch) })
-	c.calls.Go(func() {
-		defer cancel()
-		_, err := c.readWatch(ctx, watch)
-		c.watchEnded(ctx, watch, err)
-	})
-}
-
-// reportOverdue delivers a failure if a watch receives no line in time. The watch continues.
-func (c *Client) reportOverdue(ctx context.Context, watch *watchCall) {
-	timer := time.NewTimer(c.firstLineTimeout)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return
-	case <-watch.firstLine:
-		return
-	case <-timer.C:
-	}
-	c.mu.Lock()
-	watch.overdue = watch.lastLine.IsZero()
-	report := watch.overdue
-	c.mu.Unlock()
-	if report {
-		c.deliverFailure(ctx, 0, nil)
-	}
-}
-
-// lineReceived records a line of a watch. The first line of a watch cancels the other watch if there are two.
-func (c *Client) lineReceived(watch *watchCall) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if watch.lastLine.IsZero() {
-		close(watch.firstLine)
-		switch {
-		case c.overdueWatch == watch && c.currentWatch != nil:
-			c.currentWatch.cancel()
-			fallthrough
-		case c.overdueWatch == watch:
-			c.currentWatch, c.overdueWatch = watch, nil
-		case c.overdueWatch != nil:
-			c.overdueWatch.cancel()
-			c.overdueWatch = nil
-		}
-	}
-	watch.lastLine = time.Now()
-}
-
-// watchEnded delivers a failure for a watch that has ended, unless it was already reported as overdue without a line since, or
-// ctx was cancelled by this client. err is why the watch did not begin, or nil if it did.
-func (c *Client) watchEnded(ctx context.Context, watch *watchCall, err error) {
-	c.mu.Lock()
-	if c.currentWatch == watch {
-		c.currentWatch = nil
-	}
-	if c.overdueWatch == watch {
-		c.overdueWatch = nil
-	}
-	report, silence := !watch.overdue || !watch.lastLine.IsZero(), time.Duration(0)
-	if !watch.lastLine.IsZero() {
-		silence = time.Since(watch.lastLine)
-	}
-	c.mu.Unlock()
-	if report {
-		c.deliverFailure(ctx, silence, err)
-	}
-}
-
 // Fetch fetches one snapshot in the background and delivers it or, on error, a failure.
 func (c *Client) Fetch() {
 	if c.ctx.Err() != nil {
@@ -262,96 +161,20 @@
 	c.mu.Lock()
 	parent := c.addressCtx
 	c.mu.Unlock()
+	id := c.lastID.Add(1)
 	c.calls.Go(func() {
 		ctx, cancel := context.WithTimeout(parent, c.fetchTimeout)
 		defer cancel()
-		if err := c.fetch(ctx); err != nil {
+		if err := c.fetch(ctx, id); err != nil {
+			slog.Info("snapshot not received", "call", id, "reason", err)
 			c.deliverFailure(parent, 0, err)
 		}
 	})
 }
 
-// deliverFailure delivers a failed call or an ended watch, unless ctx was cancelled by this client. silence is the time since
-// the last line of the watch, 0 if there is none; cause is why a call failed, nil if it is not known.
-func (c *Client) deliverFailure(ctx context.Context, silence time.Duration, cause error) {
-	c.deliverMu.Lock()
-	defer c.deliverMu.Unlock()
-	if ctx.Err() != nil {
-		return
-	}
-	failure := balancer.EndpointUpdate{Kind: balancer.UpdateFailed, SilentFor: silence}
-	var status *statusError
-	failure.Busy = errors.As(cause, &status) && status.code == http.StatusServiceUnavailable
-	c.deliver(Update{EndpointUpdate: failure})
-}
-
-// statusError is a response of the service with a status other than 200.
-type statusError struct{ code int }
-
-func (e *statusError) Error() string {
-	return fmt.Sprintf("discovery responded with status %d, want %d", e.code, http.StatusOK)
-}
-
-// startCall starts a watch or a fetch and returns the response and the revision that was known at the start.
-func (c *Client) startCall(ctx context.Context, watch bool) (resp *http.Response, known knownRevision, err error) {
-	c.deliverMu.Lock()
-	c.mu.Lock()
-	known = knownRevision{c.revision, c.hasRevision}
-	url := c.url
-	c.mu.Unlock()
-	c.deliverMu.Unlock()
-	if watch {
-		url += "?watch=1"
-		if known.known {
-			url += "&after=" + strconv.FormatUint(known.revision, 10)
-		}
-	}
-	resp, err = c.get(ctx, url)
-	return resp, known, err
-}
-
-// knownRevision is the revision of the list delivered last; known is false if none was delivered.
-type knownRevision struct {
-	revision uint64
-	known    bool
-}
-
-func (c *Client) get(ctx context.Context, url string) (*http.Response, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return nil, err
-	}
-	resp, err := c.http.Do(req)
-	if err != nil {
-		return nil, err
-	}
-	if resp.StatusCode != http.StatusOK {
-		resp.Body.Close()
-		return nil, &statusError{resp.StatusCode}
-	}
-	return resp, nil
-}
-
-func (c *Client) fetch(ctx context.Context) error {
-	resp, known, err := c.startCall(ctx, false)
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(resp.Body, maxLineBytes+1))
-	if err != nil {
-		return err
-	}
-	if len(text) > maxLineBytes {
-		return fmt.Errorf("endpoint list must be at most %d bytes", maxLineBytes)
-	}
-	_, err = c.deliverLine(ctx, text, known)
-	return err
-}
-
-// deliverLine parses a line of a call and delivers its update. It returns the revision known afterwards; known is the revision
+// deliverLine parses a line of the call with the given ID and delivers its update. It returns the revision known afterwards; known is the revision
 // that was known when the call began or its previous line was delivered.
-func (c *Client) deliverLine(ctx context.Context, line []byte, known knownRevision) (knownRevision, error) {
+func (c *Client) deliverLine(ctx context.Context, id uint64, line []byte, known knownRevision) (knownRevision, error) {
 	rev, u, err := Parse(line)
 	if err != nil {
 		return known, err
@@ -367,67 +190,8 @@
 		return known, fmt.Errorf("stale revision %d, already at %d", rev, c.revision)
 	}
 	c.revision, c.hasRevision = rev, true
+	c.stats.listReceived(time.Now(), rev)
+	logList(id, rev, &u)
 	c.deliver(u)
 	return knownRevision{rev, true}, nil
 }
-
-// readWatch reads a watch to its end and reports whether it delivered a list. It returns an error only if the watch did not begin.
-// watch is nil if lists are pushed.
-func (c *Client) readWatch(parent context.Context, watch *watchCall) (delivered bool, err error) {
-	ctx, cancel := context.WithCancel(parent)
-	defer cancel()
-	// A service behind a network partition does not close its connections, so a watch without complete lines is cancelled.
-	firstTimeout := c.firstLineTimeout
-	if watch != nil { // after firstLineTimeout it is overdue and continues for as long again, in parallel with the next call
-		firstTimeout *= 2
-	}
-	expiry := time.AfterFunc(firstTimeout, cancel)
-	defer func() { expiry.Stop() }()
-	extend := func(d time.Duration) bool {
-		if !expiry.Stop() {
-			return false
-		}
-		expiry = time.AfterFunc(d, cancel)
-		return true
-	}
-	resp, known, err := c.startCall(ctx, true)
-	if err != nil {
-		return false, err
-	}
-	defer resp.Body.Close()
-	if watch == nil && !extend(c.silenceTimeout) { // only for a pushed list does the response head count as a sign of life
-		return false, nil
-	}
-	r := bufio.NewReaderSize(resp.Body, 4<<10)
-	var line []byte
-	var scanner objectScanner
-	for {
-		part, err := r.ReadSlice('\n')
-		line = append(line, part...)
-		if scanner.scan(part); errors.Is(err, bufio.ErrBufferFull) && len(line) <= maxLineBytes {
-			continue
-		}
-		if err != nil || len(line) > maxLineBytes { // discard an incomplete line
-			return delivered, nil
-		}
-		if scanner.unfinished() { // a list may span several indented lines
-			continue
-		}
-		if !extend(c.silenceTimeout) {
-			return delivered, nil
-		}
-		if watch != nil {
-			c.lineReceived(watch)
-		}
-		if text := bytes.TrimSpace(line); len(text) > 0 {
-			if known, err = c.deliverLine(parent, text, known); err != nil {
-				return delivered, nil
-			}
-			delivered = true
-		}
-		scanner = objectScanner{}
-		if line = line[:0]; cap(line) > 64<<10 {
-			line = nil
-		}
-	}
-}
--- a/internal/proxy/client.go
+++ b/internal/proxy/client.go
@@ -260,6 +260,7 @@
 
 // reject answers with an error status and text, and closes the connection.
 func (c *client) reject(status int, text string) {
+	c.front.events.info("connection closed", "status", status, "reason", text, "client", c.RemoteAddr())
 	c.answerAndClose(Answer{Status: status, Body: []byte(text + "\n")})
 }
 
--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -33,6 +33,9 @@
 	OpenRequests Quota
 	// BodyMemory limits the memory for request bodies; nil means the Front's own limit.
 	BodyMemory Quota
+	// LogRequests writes a log message about each retry, each attempt that is not served and each request that is rejected, fails or
+	// is abandoned, up to maxEventsPerSecond.
+	LogRequests bool
 	// OnCompleted, if not nil, is called once for each completed request. The core's lock is held, so OnCompleted must
 	// neither block nor call the Core.
 	OnCompleted func(Completed)
@@ -72,6 +75,7 @@
 	unanswered int                          // requests without a final answer
 	upstreams  map[string]*backend.Upstream // by server ID
 	lastLogged time.Time
+	events     *eventLog  // nil unless Options.LogRequests is set
 	toAnswer   []*request // settled requests, to be answered once the lock is released
 	stats      Stats
 	retired    bool
@@ -82,6 +86,9 @@
 func NewCore(opt Options, pool *backend.Pool) (*Core, error) {
 	c := &Core{opt: opt, pool: pool, startTime: time.Now(), classDeadlines: map[string]time.Duration{}, idle: make(chan struct{}),
 		requests: map[string]*request{}, upstreams: map[string]*backend.Upstream{}}
+	if opt.LogRequests {
+		c.events = &eventLog{}
+	}
 	c.startUnix = time.Duration(c.startTime.UnixNano())
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	for _, class := range opt.Settings.Classes {
@@ -131,6 +138,7 @@
 	c.withBalancer(func(now time.Duration) {
 		if c.settleAnswer(q, Answer{Status: http.StatusBadGateway}) {
 			c.stats.ClientLeft++
+			c.logEnd(now, "request abandoned", q)
 			c.notifyCompleted(now, q, OutcomeClientLeft)
 			c.balancer.ClientGone(now, q.id)
 			c.forgetIfFinished(q)
@@ -154,6 +162,7 @@
 			}
 			a := answer(q.Attributes, len(q.attempts) > 0)
 			c.settleAnswer(q, a)
+			c.logEnd(now, "request answered at the end of the shutdown", q)
 			count++
 			if a.Status == http.StatusServiceUnavailable {
 				c.stats.Rejected++
@@ -345,6 +354,10 @@
 			q.endpointError = &response
 		}
 		c.stats.Attempts[reply.Result]++
+		if reply.Result != balancer.Served {
+			c.events.info("attempt not served", "id", q.id, "attempt", i, "server", q.attemptServers[i], "result", reply.Result,
+				"latency", outcome.Latency, "answered", q.answered)
+		}
 		outcome.Final = q.answered && q.stream == nil
 		c.balancer.Outcome(now, outcome)
 		c.forgetIfFinished(q)
@@ -370,6 +383,12 @@
 	c.notifyCompleted(now, q, OutcomeServed)
 }
 
+// logEnd logs how a request ended that was not served.
+func (c *Core) logEnd(now time.Duration, message string, q *request) {
+	c.events.info(message, "id", q.id, "class", q.Attributes.Class, "attempts", len(q.attempts), "after", now-q.acceptedAt,
+		"time_left", time.Until(q.deadline))
+}
+
 func (c *Core) notifyCompleted(now time.Duration, q *request, outcome RequestOutcome) {
 	if c.opt.OnCompleted != nil {
 		c.opt.OnCompleted(Completed{Attributes: q.Attributes, Method: q.Send.Method, Latency: now - q.acceptedAt, Outcome: outcome})
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -46,6 +46,7 @@
 	conns        *clientSet
 	bodies       bodyBudget // for requests to cores without a memory quota
 	readAheads   bodyBudget // for what clients send behind their requests
+	events       *eventLog  // nil unless the node logs requests
 
 	stopping  atomic.Bool
 	closing   atomic.Bool   // connections are closed after their next answer
--- a/internal/proxy/host.go
+++ b/internal/proxy/host.go
@@ -40,6 +40,10 @@
 		a = backend.NewAttempt(c.upstream(server), &q.Send, deadline)
 	}
 	q.attempts = append(q.attempts, a)
+	q.attemptServers = append(q.attemptServers, server)
+	if i > 0 {
+		c.events.info("request retried", "id", id, "attempt", i, "server", server, "running", q.attemptsRunning-1)
+	}
 	c.attempts.Add(1)
 	go c.runAttempt(q, i, a)
 }
@@ -60,9 +64,11 @@
 	if c.settleAnswer(q, a) {
 		if a.Status == http.StatusServiceUnavailable && q.endpointError == nil {
 			c.stats.Rejected++
+			c.logEnd(c.now(), "request rejected", q)
 			c.notifyCompleted(c.now(), q, OutcomeRejected)
 		} else {
 			c.stats.Failed++
+			c.logEnd(c.now(), "request failed", q)
 			c.notifyCompleted(c.now(), q, OutcomeFailed)
 		}
 		c.forgetIfFinished(q)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"log/slog"
 	"net/http"
 	"strconv"
 	"strings"
@@ -26,6 +27,7 @@
 	opt.BodyMemory, opt.Source = &n.bodies, n
 	var err error
 	n.Core, err = NewCore(opt, pool)
+	n.Front.events = n.Core.events
 	return n, err
 }
 
@@ -35,6 +37,18 @@
 	return discoveryClient.Start(cachedList)
 }
 
+// LogStatus logs the counters of requests, attempts and calls to the discovery service, and how old the endpoint list is.
+func (n *Node) LogStatus() {
+	stats, list := n.Stats(), n.discovery.Stats()
+	age := time.Duration(-1)
+	if !list.ReceivedAt.IsZero() {
+		age = time.Since(list.ReceivedAt)
+	}
+	slog.Info("status", "accepted", stats.Accepted, "served", stats.Served, "rejected", stats.Rejected, "failed", stats.Failed,
+		"client_left", stats.ClientLeft, "attempts", stats.Sends, "retries", stats.Retries, "descriptors", n.conns.budget.Used(),
+		"list_revision", list.Revision, "list_age", age, "list_calls", list.Calls, "list_updates", list.Lists, "list_failures", list.Failures)
+}
+
 // Watch starts or stops a watch of the endpoint list.
 func (n *Node) Watch(on bool) { n.discovery.Watch(on) }
 
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -43,6 +43,7 @@
 	acceptedAt      time.Duration
 	deadline        time.Time
 	attempts        []*backend.Attempt
+	attemptServers  []string // IDs of the servers of attempts
 	attemptsRunning int
 	answered        bool
 	answer          Answer
