discovery: a watch that begins with an empty line ends its call

Cause: the balancer takes a call for pending until an update of the list comes. Where nothing has changed since the version that a call names, its watch begins with an empty line, and Client.readWatch delivered nothing for it. A node that has been started with an up-to-date list therefore had a healthy watch and a pending call. When the watch broke, pollSchedule.failed took that for the failure of a call made long ago: the node called at once instead of in its turn, as did all others, most were turned away, and these called again 4.75 to 5 s later, all together again. The time at which the node counts as notified was not set either, so a call turned away was not repeated.

Change: the first line of a watch is delivered, as a change of nothing where it is empty. Before the first list an empty line is no sign of life, so such a watch is overdue like one without lines.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -195,3 +195,16 @@
 	c.deliver(u)
 	return knownRevision{rev, true}, nil
 }
+
+// deliverUnchanged delivers a change of nothing for the call with the given ID, which has begun with an empty line: the list that is
+// known is up to date, and the balancer must not take the call for one that is still pending.
+func (c *Client) deliverUnchanged(ctx context.Context, id uint64, known knownRevision) {
+	c.deliverMu.Lock()
+	defer c.deliverMu.Unlock()
+	if ctx.Err() != nil {
+		return
+	}
+	c.stats.listReceived(time.Now(), known.revision)
+	slog.Info("list unchanged", "call", id, "revision", known.revision)
+	c.deliver(Update{EndpointUpdate: balancer.EndpointUpdate{Kind: balancer.UpdateDelta}})
+}
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -77,11 +77,13 @@
 	}
 }
 
-// lineReceived records a line of a watch. The first line of a watch cancels the other watch if there are two.
-func (c *Client) lineReceived(watch *watchCall) {
+// lineReceived records a line of a watch and reports whether it is the first one. The first line of a watch cancels the other watch if
+// there are two.
+func (c *Client) lineReceived(watch *watchCall) (first bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if watch.lastLine.IsZero() {
+	first = watch.lastLine.IsZero()
+	if first {
 		close(watch.firstLine)
 		switch {
 		case c.overdueWatch == watch && c.currentWatch != nil:
@@ -95,6 +97,7 @@
 		}
 	}
 	watch.lastLine = time.Now()
+	return first
 }
 
 // watchEnded delivers a failure for a watch that has ended, unless it was already reported as overdue without a line since, or
@@ -167,17 +170,23 @@
 		if scanner.unfinished() { // a list may span several indented lines
 			continue
 		}
+		text := bytes.TrimSpace(line)
+		if watch != nil && len(text) == 0 && !known.known { // no sign of life before the first list
+			line = line[:0]
+			continue
+		}
 		if !extend(c.silenceTimeout) {
 			return delivered, errSilent
 		}
-		if watch != nil {
-			c.lineReceived(watch)
-		}
-		if text := bytes.TrimSpace(line); len(text) > 0 {
+		first := watch != nil && c.lineReceived(watch)
+		switch {
+		case len(text) > 0:
 			if known, err = c.deliverLine(parent, id, text, known); err != nil {
 				return delivered, err
 			}
 			delivered = true
+		case first:
+			c.deliverUnchanged(parent, id, known)
 		}
 		scanner = objectScanner{}
 		if line = line[:0]; cap(line) > 64<<10 {
--- a/internal/discovery/watch_test.go
+++ b/internal/discovery/watch_test.go
@@ -255,3 +255,30 @@
 		t.Errorf("after a partial response of a pushed list the next one takes up to %v, want less than %v", total, notifiedAfter)
 	}
 }
+
+// Guards against a watch without changes that the balancer takes for a pending call.
+func TestWatchThatBeginsWithAnEmptyLineEndsItsCall(t *testing.T) {
+	testbed.Leaks(t)
+	h := startHarness(t, false, listLine(7, true, targetEntry("s1", "SERVING")), nil)
+	h.Watch(true)
+	c := testbed.Receive(t, "a call", h.calls)
+	c.writeHead()
+	c.writeChunk("\n")
+	h.expect(t, balancer.UpdateDelta)
+	c.writeChunk("\r\n")
+	c.writeChunk(listLine(8, false, targetEntry("s1", "DRAINING")) + "\n")
+	h.expect(t, balancer.UpdateDelta, "s1")
+	c.conn.Close()
+	h.expect(t, balancer.UpdateFailed)
+}
+
+// Guards against a node that keeps a watch which never gives it a list.
+func TestWatchThatBeginsWithAnEmptyLineFailsIfNoListIsKnown(t *testing.T) {
+	testbed.Leaks(t)
+	h := startHarness(t, false, "", func(c *Client) { c.firstLineTimeout = 50 * time.Millisecond })
+	h.Watch(true)
+	c := testbed.Receive(t, "a call", h.calls)
+	c.writeHead()
+	c.writeChunk("\n")
+	h.expect(t, balancer.UpdateFailed)
+}
