discovery, balancer: a list that does not arrive whole is asked for again, its drains followed

One that stopped short was noticed only after 3.5 s. And what the part did say was dropped, though it counts as told when it is written.

Change: a watch within whose line nothing comes for 0.6 s is reported and goes on beside the next call (stallDetector); it is no longer only the first line for which that holds. A call whose answer broke off, stalled or is no list is repeated after 0.2 s to 0.4 s, doubled up to four times in a row, then in its turn (EndpointUpdate.Interrupted), as the service has just answered. Entries of draining and removed servers that arrived whole are applied at once (UpdatePartial) without counting as the list, unless their revision is older than the known one.

--- a/balancer/api.go
+++ b/balancer/api.go
@@ -33,6 +33,7 @@
 	UpdateSnapshot                   // the complete list
 	UpdateCached                     // the complete list as last known; may be stale
 	UpdateFailed                     // a poll failed or the watch broke; Servers is empty
+	UpdatePartial                    // entries of a delta or snapshot that has not arrived whole; the poll or watch goes on or fails
 )
 
 // EndpointUpdate is a watch event or the result of a poll of the endpoint list.
@@ -45,6 +46,9 @@
 	// Busy is set only with UpdateFailed: the service turned a poll away with an answer, so it is running and may have time for
 	// another poll soon.
 	Busy bool
+	// Interrupted is set only with UpdateFailed: an answer to the poll began and broke off or stopped, so the service is running and
+	// another poll may succeed at once.
+	Interrupted bool
 }
 
 // Request is a client's request that this proxy has accepted. It gets exactly one final answer.
--- a/balancer/endpoints.go
+++ b/balancer/endpoints.go
@@ -37,7 +37,7 @@
 		return
 	}
 	b.subset.stale = true
-	if u.Kind != UpdateDelta {
+	if u.Kind == UpdateSnapshot || u.Kind == UpdateCached {
 		b.endpoints.retainOnly(u.Servers)
 	}
 	for _, entry := range u.Servers {
@@ -47,15 +47,17 @@
 	if b.settings.Admission != nil {
 		b.settings.Admission.SetEndpoints(now, b.endpoints.running)
 	}
-	b.endpoints.known = b.endpoints.known || u.Kind != UpdateCached
+	b.endpoints.known = b.endpoints.known || u.Kind == UpdateSnapshot || u.Kind == UpdateDelta
 	if b.endpoints.known && b.endpoints.running == 0 {
 		b.dispatchAll(now) // no server can be expected: all requests are answered with an error
 	}
 	b.admitQueued(now)
-	if u.Kind == UpdateCached {
+	switch u.Kind {
+	case UpdateCached:
 		b.polls.cachedListLoaded()
-	} else {
+	case UpdateSnapshot, UpdateDelta:
 		b.polls.succeeded()
+	case UpdatePartial, UpdateFailed:
 	}
 }
 
--- a/balancer/pollschedule.go
+++ b/balancer/pollschedule.go
@@ -16,6 +16,9 @@
 	maxLateness    = 500 * time.Millisecond // of a poll behind notifiedAfter: sends to draining servers are allowed for a second more
 	minSilence     = 3 * time.Second        // a watch without a line for so long fell silent, since an open one gets a line every 2 s
 	minRepeatPause = 400 * time.Millisecond // before a poll that was turned away is repeated
+
+	firstInterruptedPause = 200 * time.Millisecond // before a poll whose answer was interrupted is repeated; doubled each time
+	maxInterruptedRepeats = 4                      // in a row; the next poll is a regular one
 )
 
 // pollSchedule decides when a proxy polls the endpoint list. It spreads the polls of all proxies so that they do not overload the
@@ -30,6 +33,7 @@
 	watchBroken bool          // the watch broke, and no poll has ended since then
 	notifiedAt  time.Duration // when this proxy counts as notified of what the broken watch missed; 0 if an update was received since
 	polledAt    time.Duration // start of the last poll
+	interrupted int           // polls in a row that were repeated because their answers were interrupted
 }
 
 // failed schedules the next poll after u, a poll that failed or a watch that broke.
@@ -40,6 +44,11 @@
 		p.watchBroken = true
 		p.notifiedAt = now - u.SilentFor + notifiedAfter
 		p.schedule(p.spread(p.firstPollWindow(u.SilentFor)))
+	case u.Interrupted && p.interrupted < maxInterruptedRepeats:
+		pause := firstInterruptedPause << p.interrupted
+		jitter := time.Duration(p.rng.Float64() * float64(pause))
+		p.interrupted++
+		p.schedule(pause + jitter)
 	case u.Busy && p.repeatWindow(now) > 0:
 		jitter := time.Duration(p.rng.Float64() * float64(p.repeatWindow(now)))
 		p.schedule(minRepeatPause + jitter)
@@ -100,6 +109,7 @@
 func (p *pollSchedule) succeeded() {
 	p.timerSet, p.pending, p.watchBroken = false, false, false
 	p.notifiedAt = 0
+	p.interrupted = 0
 }
 
 // timerExpired polls the list, unless an update was received since the timer was set.
--- a/internal/discovery/call.go
+++ b/internal/discovery/call.go
@@ -25,6 +25,7 @@
 	failure := balancer.EndpointUpdate{Kind: balancer.UpdateFailed, SilentFor: silence}
 	var status *statusError
 	failure.Busy = errors.As(cause, &status) && status.code == http.StatusServiceUnavailable
+	failure.Interrupted = errors.Is(cause, errIncomplete)
 	c.deliver(Update{EndpointUpdate: failure})
 }
 
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -18,12 +18,15 @@
 )
 
 const (
-	maxLineBytes = 8 << 20 // of a line of a watch, or of a fetched list
-	dialTimeout  = time.Second
+	maxLineBytes     = 8 << 20  // of a line of a watch, or of a fetched list
+	maxRetainedBytes = 64 << 10 // of a buffer for lines that is used again
+	dialTimeout      = time.Second
 
 	// A watch sends at least an empty line every 2 s. A change that a silent watch misses counts as notified 6 s after its last
 	// line. A timeout of 3.5 s leaves time for another call before then.
 	defaultSilenceTimeout = 3500 * time.Millisecond
+	// What the service has written counts as notified, and sends to draining servers are allowed for a second more.
+	defaultStallTimeout = 600 * time.Millisecond
 	// The agent that pushes lists runs on the same machine and responds at once. Changes that it knows count as notified, so a
 	// failed call must be repeated well within the drain grace period of 1 s.
 	agentTimeout         = 400 * time.Millisecond
@@ -45,6 +48,7 @@
 	fetchTimeout     time.Duration // of a snapshot
 	firstLineTimeout time.Duration // until a watch sends its first line or, if lists are pushed, its response head
 	silenceTimeout   time.Duration // maximum time between two lines of a watch
+	stallTimeout     time.Duration // maximum time in which nothing comes within a line
 	minRetryPause    time.Duration // before a pushed list is watched again; doubled after each failure
 
 	deliverMu   sync.Mutex // serializes the delivery of updates from concurrent calls
@@ -65,7 +69,8 @@
 // concurrently. If pushed is true, the service pushes lists, and the client always watches.
 func New(addr string, pushed bool, deliver func(Update)) *Client {
 	c := &Client{url: instancesURL(addr), addressChanged: make(chan struct{}, 1), pushed: pushed, deliver: deliver,
-		fetchTimeout: 5 * time.Second, firstLineTimeout: defaultSilenceTimeout, silenceTimeout: defaultSilenceTimeout, minRetryPause: defaultMinRetryPause}
+		fetchTimeout: 5 * time.Second, firstLineTimeout: defaultSilenceTimeout, silenceTimeout: defaultSilenceTimeout,
+		stallTimeout: defaultStallTimeout, minRetryPause: defaultMinRetryPause}
 	if pushed {
 		c.firstLineTimeout = agentTimeout
 	}
@@ -177,7 +182,7 @@
 func (c *Client) deliverLine(ctx context.Context, id uint64, line []byte, known knownRevision) (knownRevision, error) {
 	rev, u, err := Parse(line)
 	if err != nil {
-		return known, err
+		return known, fmt.Errorf("%w: %w", errIncomplete, err)
 	}
 	c.deliverMu.Lock()
 	defer c.deliverMu.Unlock()
@@ -208,3 +213,19 @@
 	slog.Info("list unchanged", "call", id, "revision", known.revision)
 	c.deliver(Update{EndpointUpdate: balancer.EndpointUpdate{Kind: balancer.UpdateDelta}})
 }
+
+// deliverPartial delivers the servers that are draining or removed by the whole entries of a line that has not arrived whole. They
+// count as notified since they were written.
+func (c *Client) deliverPartial(ctx context.Context, id uint64, line []byte) {
+	rev, update := parsePartial(line)
+	if len(update.Servers) == 0 {
+		return
+	}
+	c.deliverMu.Lock()
+	defer c.deliverMu.Unlock()
+	if ctx.Err() != nil || c.hasRevision && rev < c.revision {
+		return
+	}
+	logList(id, rev, &update)
+	c.deliver(update)
+}
--- a/internal/discovery/message.go
+++ b/internal/discovery/message.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -51,25 +52,84 @@
 		u.Kind = balancer.UpdateSnapshot
 	}
 	u.Endpoints = make(map[string]string, len(*list.Targets))
-	for _, target := range *list.Targets {
-		state, ok := statesByWireName[target.State]
-		if !ok || target.UID == "" {
-			return 0, u, fmt.Errorf("list: uid must not be empty and state must be SERVING, DRAINING or DELETED, got uid %q, state %q", target.UID, target.State)
+	for i := range *list.Targets {
+		if err := u.add(&(*list.Targets)[i]); err != nil {
+			return 0, u, err
 		}
-		server := balancer.Server{ID: target.UID, Zone: target.AZ, Kind: target.Model, Cell: target.PodGroup, State: state, Weight: 1}
-		if target.Capacity != nil {
-			server.Weight = *target.Capacity
+	}
+	return *list.Rev, u, nil
+}
+
+// add adds an entry of a list, or returns an error if the entry is invalid.
+func (u *Update) add(target *targetMessage) error {
+	state, ok := statesByWireName[target.State]
+	if !ok || target.UID == "" {
+		return fmt.Errorf("list: uid must not be empty and state must be SERVING, DRAINING or DELETED, got uid %q, state %q", target.UID, target.State)
+	}
+	server := balancer.Server{ID: target.UID, Zone: target.AZ, Kind: target.Model, Cell: target.PodGroup, State: state, Weight: 1}
+	if target.Capacity != nil {
+		server.Weight = *target.Capacity
+	}
+	if target.BootMS > 0 && target.BootMS < 1<<43 {
+		server.Since = time.Duration(target.BootMS) * time.Millisecond
+	}
+	if state != balancer.Removed {
+		if _, port, err := net.SplitHostPort(target.Endpoint); err != nil || port == "" {
+			return fmt.Errorf("list: uid %q: endpoint must be host:port, got %q", target.UID, target.Endpoint)
 		}
-		if target.BootMS > 0 && target.BootMS < 1<<43 {
-			server.Since = time.Duration(target.BootMS) * time.Millisecond
+		u.Endpoints[target.UID] = target.Endpoint
+	}
+	u.Servers = append(u.Servers, server)
+	return nil
+}
+
+// parsePartial decodes a line that has not arrived whole. The update has the servers that are draining or removed by the entries that
+// did arrive whole; it has none if the revision did not arrive before the entries.
+func parsePartial(line []byte) (rev uint64, u Update) {
+	u.Kind = balancer.UpdatePartial
+	u.Endpoints = map[string]string{}
+	decoder := json.NewDecoder(bytes.NewReader(line))
+	if _, err := decoder.Token(); err != nil {
+		return 0, u
+	}
+	hasRevision := false
+	for decoder.More() {
+		name, err := decoder.Token()
+		switch {
+		case err != nil:
+			return rev, u
+		case name == "rev":
+			err = decoder.Decode(&rev)
+			hasRevision = err == nil
+		case name == "targets" && hasRevision:
+			u.addUnusable(decoder)
+			return rev, u
+		default:
+			var skipped json.RawMessage
+			err = decoder.Decode(&skipped)
 		}
-		if state != balancer.Removed {
-			if _, port, err := net.SplitHostPort(target.Endpoint); err != nil || port == "" {
-				return 0, u, fmt.Errorf("list: uid %q: endpoint must be host:port, got %q", target.UID, target.Endpoint)
-			}
-			u.Endpoints[target.UID] = target.Endpoint
+		if err != nil {
+			return rev, u
+		}
+	}
+	return rev, u
+}
+
+// addUnusable adds the entries of draining and removed servers up to the first entry that is incomplete or invalid.
+func (u *Update) addUnusable(entries *json.Decoder) {
+	if _, err := entries.Token(); err != nil {
+		return
+	}
+	for entries.More() {
+		var target targetMessage
+		if err := entries.Decode(&target); err != nil {
+			return
+		}
+		if state, ok := statesByWireName[target.State]; ok && state == balancer.Running {
+			continue
+		}
+		if err := u.add(&target); err != nil {
+			return
 		}
-		u.Servers = append(u.Servers, server)
 	}
-	return *list.Rev, u, nil
 }
--- a/internal/discovery/stats.go
+++ b/internal/discovery/stats.go
@@ -32,7 +32,8 @@
 	return c.stats
 }
 
-var kindNames = map[balancer.UpdateKind]string{balancer.UpdateDelta: "delta", balancer.UpdateSnapshot: "snapshot", balancer.UpdateCached: "cached"}
+var kindNames = map[balancer.UpdateKind]string{balancer.UpdateDelta: "delta", balancer.UpdateSnapshot: "snapshot", balancer.UpdateCached: "cached",
+	balancer.UpdatePartial: "partial"}
 
 // logList logs an update with the IDs of the servers that may not be sent to. id is the call that received it, 0 for the cached list.
 func logList(id, revision uint64, u *Update) {
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -14,7 +14,8 @@
 type watchCall struct {
 	id        uint64
 	cancel    context.CancelFunc
-	overdue   bool          // a failure was delivered because no line arrived in time
+	overdue   bool          // a failure was delivered since the last line, because none arrived in time or one stalled
+	recovered bool          // a line arrived while it was overdue
 	firstLine chan struct{} // closed when the first line arrives
 	lastLine  time.Time     // when the last line arrived; zero if none has
 }
@@ -28,7 +29,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if on && c.currentWatch != nil && c.currentWatch.overdue && !c.currentWatch.lastLine.IsZero() { // the overdue watch has received a line since
+	if on && c.currentWatch != nil && c.currentWatch.recovered && !c.currentWatch.overdue {
 		return
 	}
 	previous := c.currentWatch
@@ -68,8 +69,8 @@
 	case <-timer.C:
 	}
 	c.mu.Lock()
-	watch.overdue = watch.lastLine.IsZero()
-	report := watch.overdue
+	report := watch.lastLine.IsZero() && !watch.overdue
+	watch.overdue = watch.overdue || report
 	c.mu.Unlock()
 	if report {
 		slog.Info("watch is overdue", "call", watch.id, "after", c.firstLineTimeout)
@@ -77,14 +78,38 @@
 	}
 }
 
-// lineReceived records a line of a watch and reports whether it is the first one. The first line of a watch cancels the other watch if
-// there are two.
-func (c *Client) lineReceived(watch *watchCall) (first bool) {
+// reportStalled delivers a failure for a watch within whose line nothing more comes, unless it is overdue already. The watch continues.
+func (c *Client) reportStalled(ctx context.Context, watch *watchCall) {
+	c.mu.Lock()
+	report, silence := !watch.overdue, watch.silence()
+	watch.overdue = true
+	c.mu.Unlock()
+	slog.Info("watch stalled within a line", "call", watch.id, "silent_for", silence, "reported", report)
+	if report {
+		c.deliverFailure(ctx, silence, errIncomplete)
+	}
+}
+
+// silence returns the time since the last line, 0 if none has arrived.
+func (w *watchCall) silence() time.Duration {
+	if w.lastLine.IsZero() {
+		return 0
+	}
+	return time.Since(w.lastLine)
+}
+
+// lineReceived records a line of a watch. It reports whether the line is the watch's first one, or the first one since it was overdue;
+// such a line cancels the other watch if there are two.
+func (c *Client) lineReceived(watch *watchCall) (answers bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	first = watch.lastLine.IsZero()
-	if first {
+	if watch.lastLine.IsZero() {
 		close(watch.firstLine)
+	}
+	answers = watch.lastLine.IsZero() || watch.overdue
+	watch.recovered = watch.recovered || watch.overdue
+	watch.overdue = false
+	if answers {
 		switch {
 		case c.overdueWatch == watch && c.currentWatch != nil:
 			c.currentWatch.cancel()
@@ -97,11 +122,11 @@
 		}
 	}
 	watch.lastLine = time.Now()
-	return first
+	return answers
 }
 
-// watchEnded delivers a failure for a watch that has ended, unless it was already reported as overdue without a line since, or
-// ctx was cancelled by this client. reason is why it ended.
+// watchEnded delivers a failure for a watch that has ended, unless it is overdue, so that a failure was delivered already, or ctx was
+// cancelled by this client. reason is why it ended.
 func (c *Client) watchEnded(ctx context.Context, watch *watchCall, reason error) {
 	c.mu.Lock()
 	if c.currentWatch == watch {
@@ -110,10 +135,7 @@
 	if c.overdueWatch == watch {
 		c.overdueWatch = nil
 	}
-	report, silence := !watch.overdue || !watch.lastLine.IsZero(), time.Duration(0)
-	if !watch.lastLine.IsZero() {
-		silence = time.Since(watch.lastLine)
-	}
+	report, silence := !watch.overdue, watch.silence()
 	c.mu.Unlock()
 	slog.Info("watch ended", "call", watch.id, "reason", reason, "silent_for", silence, "replaced", ctx.Err() != nil, "reported", report)
 	if report {
@@ -123,9 +145,9 @@
 
 // Reasons for the end of a watch, besides errors of the connection.
 var (
-	errSilent         = errors.New("no complete line within the timeout")
-	errIncompleteLine = errors.New("ended within a line")
-	errLineTooLong    = fmt.Errorf("a line is longer than %d bytes", maxLineBytes)
+	errSilent      = errors.New("no complete line within the timeout")
+	errIncomplete  = errors.New("not a whole list")
+	errLineTooLong = fmt.Errorf("a line is longer than %d bytes", maxLineBytes)
 )
 
 // readWatch reads the watch with the given ID to its end. It reports whether the watch delivered a list, and why it ended.
@@ -155,17 +177,28 @@
 	if watch == nil && !extend(c.silenceTimeout) { // only for a pushed list does the response head count as a sign of life
 		return false, errSilent
 	}
-	r := bufio.NewReaderSize(resp.Body, 4<<10)
+	stalls := newStallDetector(resp.Body, c.stallTimeout, func(partial []byte) {
+		c.deliverPartial(parent, id, partial)
+		if watch == nil {
+			cancel()
+			return
+		}
+		c.reportStalled(parent, watch)
+	})
+	defer stalls.stop()
+	r := bufio.NewReaderSize(stalls, 4<<10)
 	var line []byte
 	var scanner objectScanner
+	answered := false // a complete line has arrived
 	for {
 		part, err := r.ReadSlice('\n')
 		line = append(line, part...)
 		if scanner.scan(part); errors.Is(err, bufio.ErrBufferFull) && len(line) <= maxLineBytes {
 			continue
 		}
-		if err != nil || len(line) > maxLineBytes { // discard an incomplete line
-			return delivered, endReason(ctx, line, err)
+		if err != nil || len(line) > maxLineBytes {
+			c.deliverPartial(parent, id, line)
+			return delivered, endReason(ctx, line, answered, err)
 		}
 		if scanner.unfinished() { // a list may span several indented lines
 			continue
@@ -173,38 +206,41 @@
 		text := bytes.TrimSpace(line)
 		if watch != nil && len(text) == 0 && !known.known { // no sign of life before the first list
 			line = line[:0]
+			stalls.lineComplete(r.Buffered())
 			continue
 		}
 		if !extend(c.silenceTimeout) {
 			return delivered, errSilent
 		}
-		first := watch != nil && c.lineReceived(watch)
+		stalls.lineComplete(r.Buffered())
+		answered = true
+		answers := watch != nil && c.lineReceived(watch)
 		switch {
 		case len(text) > 0:
 			if known, err = c.deliverLine(parent, id, text, known); err != nil {
 				return delivered, err
 			}
 			delivered = true
-		case first:
+		case answers:
 			c.deliverUnchanged(parent, id, known)
 		}
 		scanner = objectScanner{}
-		if line = line[:0]; cap(line) > 64<<10 {
+		if line = line[:0]; cap(line) > maxRetainedBytes {
 			line = nil
 		}
 	}
 }
 
-// endReason returns why a watch ended. line is its incomplete last line, err the error of reading further.
-func endReason(ctx context.Context, line []byte, err error) error {
+// endReason returns why a watch ended. line is its incomplete last line, err the error of reading further; answered tells whether a
+// complete line has arrived before.
+func endReason(ctx context.Context, line []byte, answered bool, err error) error {
 	switch {
 	case len(line) > maxLineBytes:
 		return errLineTooLong
 	case ctx.Err() != nil:
-		err = errSilent
-	}
-	if len(line) > 0 {
-		return fmt.Errorf("%w of %d bytes so far: %w", errIncompleteLine, len(line), err)
+		return errSilent
+	case len(line) > 0 || !answered:
+		return fmt.Errorf("%w, %d bytes of a line: %w", errIncomplete, len(line), err)
 	}
 	return err
 }
--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -265,14 +265,14 @@
 	for _, q := range settled {
 		c.attempts.Go(func() { c.writeAnswer(q) })
 	}
-	if u.Kind == balancer.UpdateSnapshot || u.Kind == balancer.UpdateDelta || len(u.Servers) > 0 {
+	if u.Kind == balancer.UpdateSnapshot || u.Kind == balancer.UpdateDelta || u.Kind == balancer.UpdateCached && len(u.Servers) > 0 {
 		c.ready.Store(true)
 	}
 }
 
 // updateUpstreams makes the upstreams match an update of the endpoint list.
 func (c *Core) updateUpstreams(u discovery.Update) {
-	if u.Kind != balancer.UpdateDelta {
+	if u.Kind == balancer.UpdateSnapshot || u.Kind == balancer.UpdateCached {
 		for id := range c.upstreams {
 			if _, ok := u.Endpoints[id]; !ok {
 				c.retireUpstream(id)
