discovery: what was written before a move to another address is followed

Cause: Client.Move cancels the calls to the former address at once, with what had been written to them and not read. What discovery has written counts as told, and an address ends its watches only 1.5 s after a new configuration.

Change: a watch of the former address is read on for 1.5 s or until a list has come from the new one. Only what it names as draining or removed is applied, without its revision, as revisions of different addresses are unrelated. lineReceived looks at which of the two watches a line belongs to before it cancels the other one.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
@@ -27,6 +28,8 @@
 	defaultSilenceTimeout = 3500 * time.Millisecond
 	// What the service has written counts as notified, and sends to draining servers are allowed for a second more.
 	defaultStallTimeout = 600 * time.Millisecond
+	// The service at a previous address ends its watches 1.5 s after the move.
+	previousAddressTimeout = 1500 * time.Millisecond
 	// The agent that pushes lists runs on the same machine and responds at once. Changes that it knows count as notified, so a
 	// failed call must be repeated well within the drain grace period of 1 s.
 	agentTimeout         = 400 * time.Millisecond
@@ -53,13 +56,13 @@
 
 	deliverMu   sync.Mutex // serializes the delivery of updates from concurrent calls
 	revision    uint64
-	hasRevision bool // revision is set
+	hasRevision bool // revision is set, by the cached list or by one from the current address
 	stats       Stats
 
 	mu             sync.Mutex // acquired after deliverMu
 	url            string
-	addressCtx     context.Context // ends when Move changes the address
-	cancelAddress  context.CancelFunc
+	addressCtx     context.Context // ends with errMoved when Move changes the address
+	cancelAddress  context.CancelCauseFunc
 	currentWatch   *watchCall    // the watch started last; nil once it has ended
 	overdueWatch   *watchCall    // the previous watch, if it is overdue but may still receive a response
 	addressChanged chan struct{} // signals that a pushed list must be watched at a new address
@@ -75,7 +78,7 @@
 		c.firstLineTimeout = agentTimeout
 	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
-	c.addressCtx, c.cancelAddress = context.WithCancel(c.ctx)
+	c.addressCtx, c.cancelAddress = context.WithCancelCause(c.ctx)
 	// Do not reuse connections: net/http would retry a call on a connection that has just broken.
 	c.http = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true,
 		DialContext:            (&net.Dialer{Timeout: dialTimeout, KeepAlive: -1}).DialContext,
@@ -87,13 +90,13 @@
 
 // Move changes the address of the service. The current list stays valid until a full snapshot arrives from the new address.
 // Revisions of different addresses are unrelated, so address and revision change atomically, and calls to the previous address
-// are cancelled.
+// are cancelled. What a watch of the previous address names as draining or removed is still followed until a list arrives from the new one.
 func (c *Client) Move(addr string) {
 	c.deliverMu.Lock()
 	c.mu.Lock()
 	c.url, c.hasRevision = instancesURL(addr), false
-	c.cancelAddress()
-	c.addressCtx, c.cancelAddress = context.WithCancel(c.ctx)
+	c.cancelAddress(errMoved)
+	c.addressCtx, c.cancelAddress = context.WithCancelCause(c.ctx)
 	c.currentWatch, c.overdueWatch = nil, nil
 	c.mu.Unlock()
 	c.deliverMu.Unlock()
@@ -187,6 +190,9 @@
 	c.deliverMu.Lock()
 	defer c.deliverMu.Unlock()
 	if err := ctx.Err(); err != nil {
+		if c.deliverFromPreviousAddress(ctx, id, line) {
+			return known, nil
+		}
 		return known, err
 	}
 	// An older update must not undo a newer one. A snapshot with a lower revision than the one known when it was requested is
@@ -214,6 +220,19 @@
 	c.deliver(Update{EndpointUpdate: balancer.EndpointUpdate{Kind: balancer.UpdateDelta}})
 }
 
+// deliverFromPreviousAddress delivers the servers that are draining or removed by a line of a watch of the previous address. It returns false
+// if a list has arrived from the current one, or if the watch ended for another reason. c.deliverMu must be held.
+func (c *Client) deliverFromPreviousAddress(ctx context.Context, id uint64, line []byte) bool {
+	if !errors.Is(context.Cause(ctx), errMoved) || c.hasRevision || c.ctx.Err() != nil {
+		return false
+	}
+	if rev, update := parsePartial(line); len(update.Servers) > 0 {
+		logList(id, rev, &update)
+		c.deliver(update)
+	}
+	return true
+}
+
 // deliverPartial delivers the servers that are draining or removed by the whole entries of a line that has not arrived whole. They
 // count as notified since they were written.
 func (c *Client) deliverPartial(ctx context.Context, id uint64, line []byte) {
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -282,3 +282,25 @@
 		t.Errorf("first update is %+v, want kind %v without servers", u, balancer.UpdateCached)
 	}
 }
+
+// Guards against sends to a server whose drain was written just before the node moved to another address.
+func TestLineWrittenBeforeMoveIsDelivered(t *testing.T) {
+	testbed.Leaks(t)
+	for range 30 {
+		previous := startHarness(t, false, listLine(7, true, targetEntry("s1", "SERVING")), nil)
+		next := startHarness(t, false, "", nil) // only its listener is used
+		previous.Watch(true)
+		c := testbed.Receive(t, "a call", previous.calls)
+		c.writeHead()
+		c.writeChunk(listLine(8, false) + "\n")
+		previous.expect(t, balancer.UpdateDelta)
+		c.writeChunk(listLine(9, false, targetEntry("s1", "DRAINING")) + "\n")
+		previous.Move(next.addr)
+		testbed.Receive(t, "a call at the new address", next.calls)
+		select {
+		case <-previous.updates:
+		case <-time.After(200 * time.Millisecond):
+			t.Fatal("the line was dropped")
+		}
+	}
+}
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -110,21 +110,29 @@
 	watch.recovered = watch.recovered || watch.overdue
 	watch.overdue = false
 	if answers {
-		switch {
-		case c.overdueWatch == watch && c.currentWatch != nil:
-			c.currentWatch.cancel()
-			fallthrough
-		case c.overdueWatch == watch:
-			c.currentWatch, c.overdueWatch = watch, nil
-		case c.overdueWatch != nil:
-			c.overdueWatch.cancel()
-			c.overdueWatch = nil
-		}
+		c.cancelOther(watch)
 	}
 	watch.lastLine = time.Now()
 	return answers
 }
 
+// cancelOther makes a watch the only one if it is the current or the overdue one. c.mu must be held.
+func (c *Client) cancelOther(watch *watchCall) {
+	var other *watchCall
+	switch watch {
+	case c.overdueWatch:
+		other = c.currentWatch
+	case c.currentWatch:
+		other = c.overdueWatch
+	default: // cancelled, or of the previous address
+		return
+	}
+	c.currentWatch, c.overdueWatch = watch, nil
+	if other != nil {
+		other.cancel()
+	}
+}
+
 // watchEnded delivers a failure for a watch that has ended, unless it is overdue, so that a failure was delivered already, or ctx was
 // cancelled by this client. reason is why it ended.
 func (c *Client) watchEnded(ctx context.Context, watch *watchCall, reason error) {
@@ -147,13 +155,14 @@
 var (
 	errSilent      = errors.New("no complete line within the timeout")
 	errIncomplete  = errors.New("not a whole list")
+	errMoved       = errors.New("the service has another address")
 	errLineTooLong = fmt.Errorf("a line is longer than %d bytes", maxLineBytes)
 )
 
 // readWatch reads the watch with the given ID to its end. It reports whether the watch delivered a list, and why it ended.
 // watch is nil if lists are pushed.
 func (c *Client) readWatch(parent context.Context, id uint64, watch *watchCall) (delivered bool, reason error) {
-	ctx, cancel := context.WithCancel(parent)
+	ctx, cancel := c.readingContext(parent, watch)
 	defer cancel()
 	// A service behind a network partition does not close its connections, so a watch without complete lines is cancelled.
 	firstTimeout := c.firstLineTimeout
@@ -231,6 +240,27 @@
 	}
 }
 
+// readingContext returns the context in which a watch is read: until parent ends or, if that is due to a move to another address, until
+// the service at the previous address has had time to end the watch itself.
+func (c *Client) readingContext(parent context.Context, watch *watchCall) (context.Context, context.CancelFunc) {
+	if watch == nil {
+		return context.WithCancel(parent)
+	}
+	ctx, cancel := context.WithCancel(c.ctx)
+	stop := context.AfterFunc(parent, func() {
+		if !errors.Is(context.Cause(parent), errMoved) {
+			cancel()
+			return
+		}
+		timer := time.AfterFunc(previousAddressTimeout, cancel)
+		context.AfterFunc(ctx, func() { timer.Stop() })
+	})
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
 // endReason returns why a watch ended. line is its incomplete last line, err the error of reading further; answered tells whether a
 // complete line has arrived before.
 func endReason(ctx context.Context, line []byte, answered bool, err error) error {
