discovery: a list that breaks off as the node moves to another address is followed too

Two new configurations came within 0.1 s; the answer to the call between them broke off behind the server's drain.

Cause: Client.deliverPartial dropped what came on a call of a former address; only whole lines were followed there.

Change: it is followed like a whole line of such a call.

Evidence: the case is part of TestLineWrittenBeforeMoveIsDelivered now, which fails without the change and passes with it.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -242,7 +242,11 @@
 	}
 	c.deliverMu.Lock()
 	defer c.deliverMu.Unlock()
-	if ctx.Err() != nil || c.hasRevision && rev < c.revision {
+	if ctx.Err() != nil {
+		c.deliverFromPreviousAddress(ctx, id, line)
+		return
+	}
+	if c.hasRevision && rev < c.revision {
 		return
 	}
 	logList(id, rev, &update)
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -283,10 +283,10 @@
 	}
 }
 
-// Guards against sends to a server whose drain was written just before the node moved to another address.
+// Guards against sends to a server whose drain was written, in a whole line or a part, as the node moved to another address.
 func TestLineWrittenBeforeMoveIsDelivered(t *testing.T) {
 	testbed.Leaks(t)
-	for range 30 {
+	for i := range 30 {
 		previous := startHarness(t, false, listLine(7, true, targetEntry("s1", "SERVING")), nil)
 		next := startHarness(t, false, "", nil) // only its listener is used
 		previous.Watch(true)
@@ -294,8 +294,14 @@
 		c.writeHead()
 		c.writeChunk(listLine(8, false) + "\n")
 		previous.expect(t, balancer.UpdateDelta)
-		c.writeChunk(listLine(9, false, targetEntry("s1", "DRAINING")) + "\n")
-		previous.Move(next.addr)
+		if i%2 == 0 {
+			c.writeChunk(listLine(9, false, targetEntry("s1", "DRAINING")) + "\n")
+			previous.Move(next.addr)
+		} else {
+			previous.Move(next.addr)
+			c.writeChunk(listLine(9, false, targetEntry("s1", "DRAINING"), targetEntry("s2", "SERVING"))[:200])
+			c.conn.Close()
+		}
 		testbed.Receive(t, "a call at the new address", next.calls)
 		select {
 		case <-previous.updates:
