xds: streams on which nothing changes do not lengthen the backoff

In robindrum a gateway whose incremental streams broke after quiet times would have waited up to MaxBackoff for the next one, and sent to endpoints removed meanwhile.

Cause: Client.Run reset the backoff only after a response.

Change: a stream that lasted for MaxBackoff resets the backoff too; there is still at most one attempt without response in that time.

Evidence: without the change TestQuietStreamsDoNotLengthenTheBackoff fails (3 of 3, 294 to 362 ms for a base of 20 ms); with it 3 of 3 pass.

--- a/internal/xds/client.go
+++ b/internal/xds/client.go
@@ -173,7 +173,8 @@
 
 // Run keeps the client connected to a control plane until ctx ends. It tries the servers in order. When all servers have
 // failed, or a stream that received a response has ended, it backs off and starts again with the first server. The backoff
-// grows exponentially, and is reset after a response.
+// grows exponentially. It is reset after a response and after a stream that lasted for MaxBackoff, since a control plane sends nothing
+// on an incremental stream while nothing has changed.
 func (c *Client) Run(ctx context.Context) {
 	backoff := c.options.BackoffBase
 	for ctx.Err() == nil {
@@ -181,11 +182,11 @@
 			c.wait(ctx, pauseCheckInterval)
 			backoff = c.options.BackoffBase
 		}
-		responded := c.tryServers(ctx)
+		healthy := c.tryServers(ctx)
 		if ctx.Err() != nil {
 			return
 		}
-		if responded {
+		if healthy {
 			backoff = c.options.BackoffBase
 		}
 		if c.paused.Load() {
@@ -197,10 +198,12 @@
 }
 
 // tryServers runs a stream to one server after the other, until one has responded or all have failed. It reports whether a
-// server has responded.
-func (c *Client) tryServers(ctx context.Context) (responded bool) {
+// server has responded or a stream lasted for MaxBackoff.
+func (c *Client) tryServers(ctx context.Context) (healthy bool) {
 	for _, server := range c.options.Servers {
+		startedAt := time.Now()
 		responded, err := c.runStream(ctx, server)
+		healthy = healthy || responded || time.Since(startedAt) >= c.options.MaxBackoff
 		if ctx.Err() != nil {
 			return false
 		}
@@ -214,7 +217,7 @@
 			return true
 		}
 	}
-	return false
+	return healthy
 }
 
 func (c *Client) setDisconnected(lastError string) {
--- a/internal/xds/client_test.go
+++ b/internal/xds/client_test.go
@@ -253,6 +253,28 @@
 	testbed.Eventually(t, "the first endpoint list to be removed", func() bool { return sink.get("endpoints a").State == Absent })
 }
 
+// Guards against long pauses behind streams that broke after a long time in which nothing had changed.
+func TestQuietStreamsDoNotLengthenTheBackoff(t *testing.T) {
+	testbed.Leaks(t)
+	const base, most = 20 * time.Millisecond, 400 * time.Millisecond
+	server := startControlPlane(t)
+	startClient(t, func(options *ClientOptions) { options.Delta, options.BackoffBase, options.MaxBackoff = true, base, most }, server.Addr)
+	server.SetMuted(true)
+	for range 7 {
+		testbed.Eventually(t, "a stream", func() bool { open, _ := server.Streams(); return open == 1 })
+		time.Sleep(most + 50*time.Millisecond)
+		server.Stop()
+		if err := server.Restart(); err != nil {
+			t.Fatal(err)
+		}
+		restartedAt := time.Now()
+		testbed.Eventually(t, "the next stream", func() bool { open, _ := server.Streams(); return open == 1 })
+		if took := time.Since(restartedAt); took > most/2 {
+			t.Errorf("the next stream was opened after %v, want about %v", took, base)
+		}
+	}
+}
+
 // Resources time out even if no control plane is connected, so that client requests do not wait for them indefinitely.
 func TestFetchTimeoutWithoutControlPlane(t *testing.T) {
 	testbed.Leaks(t)
