discovery: a new configuration with the current address keeps the open watch

Cause: Client.Move dropped a healthy watch and called again whatever the address was, on all nodes in the same moment.

Change: a move to the current address changes nothing.

Evidence: TestMoveToTheCurrentAddressKeepsTheWatch fails without the change and passes with it.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -90,16 +90,11 @@
 
 // Move changes the address of the service. The current list stays valid until a full snapshot arrives from the new address.
 // Revisions of different addresses are unrelated, so address and revision change atomically, and calls to the previous address
-// are cancelled. What a watch of the previous address names as draining or removed is still followed until a list arrives from the new one.
+// are cancelled. A move to the current address changes nothing. What a watch of the previous address names as draining or removed is still followed until a list arrives from the new one.
 func (c *Client) Move(addr string) {
-	c.deliverMu.Lock()
-	c.mu.Lock()
-	c.url, c.hasRevision = instancesURL(addr), false
-	c.cancelAddress(errMoved)
-	c.addressCtx, c.cancelAddress = context.WithCancelCause(c.ctx)
-	c.currentWatch, c.overdueWatch = nil, nil
-	c.mu.Unlock()
-	c.deliverMu.Unlock()
+	if !c.setAddress(addr) {
+		return
+	}
 	if c.pushed {
 		select {
 		case c.addressChanged <- struct{}{}:
@@ -110,6 +105,23 @@
 	c.Watch(true)
 }
 
+// setAddress changes the address and cancels the calls to the previous one. It returns false if the address is the current one.
+func (c *Client) setAddress(addr string) bool {
+	c.deliverMu.Lock()
+	defer c.deliverMu.Unlock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	url := instancesURL(addr)
+	if url == c.url {
+		return false
+	}
+	c.url, c.hasRevision = url, false
+	c.cancelAddress(errMoved)
+	c.addressCtx, c.cancelAddress = context.WithCancelCause(c.ctx)
+	c.currentWatch, c.overdueWatch = nil, nil
+	return true
+}
+
 // Start delivers the cached list, which may be empty, and begins to watch if lists are pushed. It returns an error if cached is
 // not a valid list; the client is started even then.
 func (c *Client) Start(cached []byte) error {
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -310,3 +310,20 @@
 		}
 	}
 }
+
+// Guards against calls of all nodes at once after a new configuration that names the current address.
+func TestMoveToTheCurrentAddressKeepsTheWatch(t *testing.T) {
+	testbed.Leaks(t)
+	h := startHarness(t, false, listLine(7, true, targetEntry("s1", "SERVING")), nil)
+	h.Watch(true)
+	c := testbed.Receive(t, "a call", h.calls)
+	c.writeHead()
+	c.writeChunk(listLine(8, false) + "\n")
+	h.expect(t, balancer.UpdateDelta)
+	h.Move(h.addr)
+	c.writeChunk(listLine(9, false, targetEntry("s1", "DRAINING")) + "\n")
+	h.expect(t, balancer.UpdateDelta, "s1")
+	if len(h.calls) != 0 {
+		t.Error("the list was called for again")
+	}
+}
--- a/internal/xds/client_test.go
+++ b/internal/xds/client_test.go
@@ -258,7 +258,9 @@
 	testbed.Leaks(t)
 	const base, most = 20 * time.Millisecond, 400 * time.Millisecond
 	server := startControlPlane(t)
-	startClient(t, func(options *ClientOptions) { options.Delta, options.BackoffBase, options.MaxBackoff = true, base, most }, server.Addr)
+	startClient(t, func(options *ClientOptions) {
+		options.Delta, options.BackoffBase, options.MaxBackoff = true, base, most
+	}, server.Addr)
 	server.SetMuted(true)
 	for range 7 {
 		testbed.Eventually(t, "a stream", func() bool { open, _ := server.Streams(); return open == 1 })
