--- a/cmd/robindrum-node/fleet_test.go
+++ b/cmd/robindrum-node/fleet_test.go
@@ -73,6 +73,7 @@
 // start starts the process of a node with the list that the node last had.
 func (f *fleet) start(t *testing.T, i int, seed uint64) {
 	t.Helper()
+	f.discovery.Restarted(i)
 	config := &platform.NodeConfig{Index: i, Nodes: f.discovery.Nodes(), Discovery: f.discovery.Address(i), Known: f.discovery.Known(i), Sockets: 512,
 		Seed: seed<<16 + uint64(i), LongDeadline: longDeadline}
 	if err := f.nodes[i].Configure(config); err != nil {
--- a/internal/testbed/platform/backend.go
+++ b/internal/testbed/platform/backend.go
@@ -27,6 +27,7 @@
 
 	mu        sync.Mutex
 	connected map[net.Conn]bool
+	hangs     bool
 }
 
 // StartBackend starts a backend that takes so long for a request. SetDiscovery must be called before the first request.
@@ -95,11 +96,28 @@
 		}
 		id := request.Header.Get("X-Trace-Id")
 		b.checkDrain(id, began)
+		if b.isHanging() {
+			_, _ = reader.Peek(1) // until the node closes the connection
+			return
+		}
 		time.Sleep(b.work)
 		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(id), id)
 	}
 }
 
+// SetHanging sets whether the backend answers no request any more.
+func (b *Backend) SetHanging(on bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.hangs = on
+}
+
+func (b *Backend) isHanging() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.hangs
+}
+
 // checkDrain records a breach if the node that sends a request has been notified for longer than the grace that the server drains. The
 // server serves the request all the same, since a node would not send it further ones otherwise.
 func (b *Backend) checkDrain(id string, began time.Time) {
--- a/internal/testbed/platform/client.go
+++ b/internal/testbed/platform/client.go
@@ -27,7 +27,11 @@
 	Lost       Outcome = "lost"
 )
 
-const answerSlack = 500 * time.Millisecond // that a final answer may come behind the client's time
+const (
+	answerSlack = 500 * time.Millisecond // that a final answer may come behind the client's time
+	// A connection that ends so long after a request was written did not cross the request: the node has read it.
+	maxCrossing = 100 * time.Millisecond
+)
 
 var (
 	errNotAnswered = errors.New("the connection ended without an answer")
@@ -41,10 +45,10 @@
 	record  *Record
 	number  *atomic.Uint64
 
-	// mayConnect and killedAt describe the node's process; they are guarded by mu.
 	mu         sync.Mutex
 	mayConnect bool
 	excused    bool // the process was killed without warning, so what it had is not lost
+	crowded    bool // idle clients fill the node's descriptors, so new connections may be closed unread
 }
 
 // NewClients returns clients of the node that listens at address.
@@ -66,10 +70,30 @@
 	c.excused = on
 }
 
-func (c *Clients) state() (mayConnect, excused bool) {
+// SetCrowded sets whether new connections may be closed unread.
+func (c *Clients) SetCrowded(on bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.crowded = on
+}
+
+func (c *Clients) mayOpen() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.mayConnect, c.excused
+	return c.mayConnect
+}
+
+// judge returns the outcome of a request that ended with err, so long after it was written to a new or a kept connection.
+func (c *Clients) judge(err error, took time.Duration) Outcome {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.excused:
+		return NodeKilled
+	case c.crowded && errors.Is(err, errNotAnswered) && took < maxCrossing:
+		return NotTaken
+	}
+	return Lost
 }
 
 // Run sends requests one after the other, about every interval, until ctx ends.
@@ -101,7 +125,7 @@
 	}
 	began := time.Now()
 	outcome, err := conn.exchange(id, deadline)
-	if kept && errors.Is(err, errNotAnswered) {
+	if kept && errors.Is(err, errNotAnswered) && time.Since(began) < maxCrossing {
 		conn.close()
 		if conn = c.connect(); conn == nil {
 			return nil
@@ -109,13 +133,10 @@
 		began = time.Now()
 		outcome, err = conn.exchange(id, deadline)
 	}
-	_, excused := c.state()
-	switch {
-	case err == nil:
-	case excused:
-		outcome = NodeKilled
-	default:
-		outcome = Lost
+	if err != nil {
+		outcome = c.judge(err, time.Since(began))
+	}
+	if outcome == Lost {
 		c.record.Breach("lost: %s, %v after %v of %v", id, err, time.Since(began).Round(time.Millisecond), deadline)
 	}
 	c.record.count(outcome)
@@ -127,7 +148,7 @@
 }
 
 func (c *Clients) connect() *clientConn {
-	if mayConnect, _ := c.state(); !mayConnect {
+	if !c.mayOpen() {
 		return nil
 	}
 	conn, err := net.DialTimeout("tcp", c.address, time.Second)
--- a/internal/testbed/platform/discovery.go
+++ b/internal/testbed/platform/discovery.go
@@ -135,6 +135,19 @@
 	return known
 }
 
+// Restarted tells that a node's process is a new one, which has the list that the node last had. What was written to the former process in
+// a part of a line is not in it.
+func (d *Discovery) Restarted(node int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	v := d.views[node]
+	for _, target := range v.known.Targets {
+		if target.State == Serving {
+			delete(v.written, target.UID)
+		}
+	}
+}
+
 // SetState changes the state of a server and tells it to the open watches.
 func (d *Discovery) SetState(uid, state string) {
 	d.mu.Lock()
