--- a/review/stand2/node.go
+++ b/review/stand2/node.go
@@ -79,12 +79,13 @@
 	exited  chan struct{}
 }
 
-// newNode returns a node at a free address, which is the same at each start.
+// newNode returns a node at a free port of a loopback address of its own, which is the same at each start. Connections and stand-ins use
+// 127.0.0.1 and can't take the port while the process is away.
 func (r *run) newNode(config nodeConfig) *node {
 	if config.connectTimeout == 0 {
 		config.connectTimeout = 75 * time.Millisecond
 	}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", fmt.Sprintf("127.77.%d.%d:0", os.Getpid()%250, config.index+1))
 	if err != nil {
 		r.fail(err)
 	}
