proxy: no attempt is sent once surplus bytes of its request have been read

Cause: the look before an attempt asked the socket alone. Surplus bytes that the reader had taken already, while the goroutine that ends the request had not run yet, were not seen, so that an endpoint could get a request that is answered 400. Found by reading again for bytes that are neither in the socket nor in the reader's buffer at prepare.

Change: client.stillWaits looks at the socket and then at client.surplus, which is atomic now: an attempt must not wait for a reader that is held up (a first form took the reader's lock, and TestNoAttemptAfterTheClientLeft and TestManyClientsLeaveAtOnce failed). What is left open are the moments between the system call that reads the bytes and the store behind it.

Tests: TestNoAttemptOnceSurplusIsRead failed without the new condition ("a client with surplus bytes that have been read waits"); the whole package passes under the race detector.

--- a/internal/proxy/client.go
+++ b/internal/proxy/client.go
@@ -38,10 +38,10 @@
 	prefix           netip.Prefix // of the client's address; set only if the clientSet sheds silent clients
 	peer             Peer
 
-	reading        sync.Mutex // held while bytes are read, while an answer begins, and while the connection is closed as idle
-	bytesRead      bool       // bytes were read since the last request was accepted
-	awaitingAnswer bool       // a request is accepted, and its answer has not begun
-	surplus        bool       // bytes came while an answer was awaited
+	reading        sync.Mutex  // held while bytes are read, while an answer begins, and while the connection is closed as idle
+	bytesRead      bool        // bytes were read since the last request was accepted
+	awaitingAnswer bool        // a request is accepted, and its answer has not begun
+	surplus        atomic.Bool // bytes came while an answer was awaited; stored with reading held
 	closed         atomic.Bool
 }
 
@@ -62,7 +62,9 @@
 		if n > 0 {
 			c.idleSince.Store(0)
 			c.bytesRead = true
-			c.surplus = c.surplus || c.awaitingAnswer
+			if c.awaitingAnswer {
+				c.surplus.Store(true)
+			}
 		}
 		return err != syscall.EAGAIN
 	}); werr != nil {
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -86,7 +86,7 @@
 	c := x.client
 	_, err := c.br.Peek(1)
 	switch {
-	case err == nil && c.surplusRead():
+	case err == nil && c.surplus.Load():
 		core.Fail(q, errorAnswer(http.StatusBadRequest, errSurplus.Error()))
 	case err == nil: // the next request, as the answer has begun
 	case errors.Is(err, os.ErrDeadlineExceeded):
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -84,12 +84,7 @@
 	if c.hasSurplus() {
 		return http.StatusBadRequest, errSurplus.Error()
 	}
-	// The goroutine that detects a client's disconnect or surplus bytes may be scheduled late on a busy machine, so each attempt
-	// checks the connection before sending.
-	q.Send.StillWanted = func() bool {
-		unread, disconnected := c.peek()
-		return !unread && !disconnected
-	}
+	q.Send.StillWanted = c.stillWaits
 	// The hop-by-hop fields, including the client's deadline, are removed only now, since Route reads them.
 	q.Send.Method = r.Method
 	q.Send.URI = r.URL.RequestURI()
--- a/internal/proxy/surplus.go
+++ b/internal/proxy/surplus.go
@@ -24,23 +24,25 @@
 	return unread
 }
 
+// stillWaits reports whether the client of the accepted request waits for the answer and has sent nothing behind the request. The
+// goroutine that ends the request otherwise may be scheduled late on a busy machine, so each attempt asks before it sends, without
+// waiting for that goroutine.
+func (c *client) stillWaits() bool {
+	unread, disconnected := c.peek()
+	return !unread && !disconnected && !c.surplus.Load()
+}
+
 // beginAnswer begins the answer to the accepted request: what comes from now on belongs to the next request. It returns errSurplus if
 // bytes have come before.
 func (c *client) beginAnswer() error {
 	c.reading.Lock()
 	defer c.reading.Unlock()
-	unread, _ := c.peek()
-	c.surplus = c.surplus || unread
+	if unread, _ := c.peek(); unread {
+		c.surplus.Store(true)
+	}
 	c.awaitingAnswer = false
-	if c.surplus {
+	if c.surplus.Load() {
 		return errSurplus
 	}
 	return nil
 }
-
-// surplusRead reports whether surplus bytes have been read.
-func (c *client) surplusRead() bool {
-	c.reading.Lock()
-	defer c.reading.Unlock()
-	return c.surplus
-}
--- a/internal/proxy/surplus_test.go
+++ b/internal/proxy/surplus_test.go
@@ -134,6 +134,44 @@
 	}
 }
 
+// Guards against an attempt that is sent although surplus bytes have been read: the goroutine that has read them, and that ends the
+// request, may be scheduled late.
+func TestNoAttemptOnceSurplusIsRead(t *testing.T) {
+	n := startNode(t, nil)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	peer, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	conn, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	c := &client{TCPConn: conn.(*net.TCPConn), front: n.Front}
+	if c.raw, err = c.SyscallConn(); err != nil {
+		t.Fatal(err)
+	}
+	c.requestAccepted()
+	if !c.stillWaits() {
+		t.Error("a client that has sent nothing behind its request does not wait, want it to")
+	}
+	if _, err := io.WriteString(peer, "b"); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Read(make([]byte, 10)); err != nil {
+		t.Fatal(err)
+	}
+	if c.stillWaits() {
+		t.Error("a client with surplus bytes that have been read waits, want the attempt not to be sent")
+	}
+}
+
 // Complete requests without surplus are served, however they are split into writes, and so is the next request on their connection.
 func TestCompleteBodiesAreServedHoweverTheyArrive(t *testing.T) {
 	testbed.Leaks(t)
