discovery: calls for the list that are turned away are repeated before the deadline

Cause: pollSchedule.failed repeated such a call only where it knew a deadline, and it knew one only behind a watch that broke. Behind a start, a move or a longer outage the next call came 5 s later. Moves were not told to the schedule. A closed connection did not count as turned away. Evidence: in the record n3, n4 and n6 call late in the first 5 s, wait 1 s for the 503, and call again 5 s behind the first call.

--- a/balancer/api.go
+++ b/balancer/api.go
@@ -43,8 +43,8 @@
 	// SilentFor is set only with UpdateFailed: how long a broken watch had received nothing, or 0 if a poll failed. The time
 	// until the next poll is shortened accordingly.
 	SilentFor time.Duration
-	// Busy is set only with UpdateFailed: the service turned a poll away with an answer, so it is running and may have time for
-	// another poll soon.
+	// Busy is set only with UpdateFailed: the service turned a poll away, with an answer or by closing the connection, so it is running
+	// and may have time for another poll soon.
 	Busy bool
 	// Interrupted is set only with UpdateFailed: an answer to the poll began and broke off or stopped, so the service is running and
 	// another poll may succeed at once.
--- a/balancer/endpoints.go
+++ b/balancer/endpoints.go
@@ -54,13 +54,19 @@
 	b.admitQueued(now)
 	switch u.Kind {
 	case UpdateCached:
-		b.polls.cachedListLoaded()
+		b.polls.cachedListLoaded(now)
 	case UpdateSnapshot, UpdateDelta:
 		b.polls.succeeded()
 	case UpdatePartial, UpdateFailed:
 	}
 }
 
+// EndpointServiceMoved reports that the endpoint list service gets another address and that the host begins to watch the list there,
+// without a call of Host.Watch. The result follows as an EndpointUpdate.
+func (b *Balancer) EndpointServiceMoved(now time.Duration) {
+	b.polls.serviceMoved(now)
+}
+
 // updateEndpoint adds, changes or removes one server.
 func (b *Balancer) updateEndpoint(now time.Duration, entry Server) {
 	list := &b.endpoints
--- a/balancer/pollschedule_test.go
+++ b/balancer/pollschedule_test.go
@@ -17,6 +17,7 @@
 	failed                   int
 	turnsAway                bool // a call that would not be done within callTimeout fails immediately and is not processed
 	refuses                  bool // while the service is down, calls fail immediately
+	answersFailures          bool // each call that fails is turned away with an answer
 }
 
 // call returns when a call that arrives now ends, and whether it returns the list.
@@ -48,8 +49,12 @@
 	bal            *Balancer
 	s              *pollingProxies
 	incarnation    int           // incremented when the process is killed, which invalidates its timers and calls
+	address        int           // incremented when the service moves, which invalidates the calls
 	listReceivedAt time.Duration // when the last list was received; 0: never
 	failed         bool          // whether the last call that ended failed, in any incarnation
+	calls          int           // since the start of the simulation
+	refusals       int           // calls that the service turns away once it is available, without processing them
+	refusalTime    time.Duration // until such a call is turned away
 }
 
 func (p *pollingProxy) SetTimer(token uint64, d time.Duration) {
@@ -62,14 +67,15 @@
 }
 
 func (p *pollingProxy) Watch(bool) {
-	incarnation, calledAt := p.incarnation, p.s.now
-	end, ok := p.s.call(p.s.now)
+	incarnation, address, calledAt := p.incarnation, p.address, p.s.now
+	end, ok, refused := p.call()
+	answered := refused || p.s.answersFailures || end == calledAt && calledAt >= p.s.availableAt
 	p.s.at(end, func() {
-		if p.incarnation != incarnation {
+		if p.incarnation != incarnation || p.address != address {
 			return
 		}
 		u := EndpointUpdate{Kind: UpdateFailed}
-		u.Busy = !ok && end == calledAt && calledAt >= p.s.availableAt
+		u.Busy = !ok && answered
 		if p.failed = !ok; ok {
 			p.listReceivedAt, u.Kind = p.s.now, UpdateSnapshot
 		}
@@ -77,6 +83,17 @@
 	})
 }
 
+// call makes a call and returns when it ends, whether it returns the list, and whether it is one of p.refusals.
+func (p *pollingProxy) call() (end time.Duration, ok, refused bool) {
+	p.calls++
+	if p.refusals > 0 && p.s.now >= p.s.availableAt {
+		p.refusals--
+		return p.s.now + p.refusalTime, false, true
+	}
+	end, ok = p.s.call(p.s.now)
+	return end, ok, false
+}
+
 // pollingProxies simulates many proxies that poll one listService.
 type pollingProxies struct {
 	simulation
--- a/cmd/robindrum-node/main.go
+++ b/cmd/robindrum-node/main.go
@@ -97,9 +97,9 @@
 	return nil
 }
 
-// reload reads the configuration file again and switches the discovery client to the address in it. Other changes take effect at
+// reload reads the configuration file again and moves discovery to the address in it. Other changes take effect at
 // the next start. reload returns an error and changes nothing if the file is invalid or belongs to another node.
-func reload(running *config, client *discovery.Client) error {
+func reload(running *config, n *proxy.Node) error {
 	c, err := loadConfig()
 	if err != nil {
 		return err
@@ -110,7 +110,7 @@
 	if err := running.checkReload(&c); err != nil {
 		return err
 	}
-	client.Move(c.Discovery)
+	n.MoveDiscovery(c.Discovery)
 	slog.Info("configuration reloaded", "discovery", c.Discovery)
 	return nil
 }
@@ -231,7 +231,7 @@
 	go n.Serve(listener)
 	go func() { // runs until the process exits, since requests in flight still need the endpoint list during shutdown
 		for range hangups {
-			if err := reload(&c, client); err != nil {
+			if err := reload(&c, n); err != nil {
 				slog.Error("configuration reload failed, keeping the current configuration", "error", err)
 			}
 		}
--- a/internal/discovery/call.go
+++ b/internal/discovery/call.go
@@ -6,8 +6,10 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"robindrum/balancer"
@@ -23,12 +25,24 @@
 	}
 	c.stats.Failures++
 	failure := balancer.EndpointUpdate{Kind: balancer.UpdateFailed, SilentFor: silence}
-	var status *statusError
-	failure.Busy = errors.As(cause, &status) && status.code == http.StatusServiceUnavailable
 	failure.Interrupted = errors.Is(cause, errIncomplete)
+	failure.Busy = !failure.Interrupted && isTurnedAway(cause)
 	c.deliver(Update{EndpointUpdate: failure})
 }
 
+// isTurnedAway reports whether a call failed because the service responded with an error or closed the connection that it had accepted.
+func isTurnedAway(cause error) bool {
+	var status *statusError
+	var network *net.OpError
+	switch {
+	case errors.As(cause, &status):
+		return true
+	case errors.As(cause, &network) && network.Op == "dial":
+		return false
+	}
+	return errors.Is(cause, io.EOF) || errors.Is(cause, syscall.ECONNRESET) || errors.Is(cause, syscall.EPIPE)
+}
+
 // statusError is a response of the service with a status other than 200.
 type statusError struct{ code int }
 
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -88,6 +88,13 @@
 
 func instancesURL(addr string) string { return "http://" + addr + "/registry/instances" }
 
+// IsAt reports whether addr is the address of the service.
+func (c *Client) IsAt(addr string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.url == instancesURL(addr)
+}
+
 // Move changes the address of the service. The current list stays valid until a full snapshot arrives from the new address.
 // Revisions of different addresses are unrelated, so address and revision change atomically, and calls to the previous address
 // are cancelled. A move to the current address changes nothing. What a watch of the previous address names as draining or removed is still followed until a list arrives from the new one.
--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -285,6 +285,11 @@
 	}
 }
 
+// EndpointServiceMoved reports that the endpoint list service gets another address. The caller begins a watch there.
+func (c *Core) EndpointServiceMoved() {
+	c.withBalancer(c.balancer.EndpointServiceMoved)
+}
+
 // updateUpstreams makes the upstreams match an update of the endpoint list.
 func (c *Core) updateUpstreams(u discovery.Update) {
 	if u.Kind == balancer.UpdateSnapshot || u.Kind == balancer.UpdateCached {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -37,6 +37,15 @@
 	return discoveryClient.Start(cachedList)
 }
 
+// MoveDiscovery changes the address of the discovery service. It does nothing if addr is the current one.
+func (n *Node) MoveDiscovery(addr string) {
+	if n.discovery.IsAt(addr) {
+		return
+	}
+	n.EndpointServiceMoved()
+	n.discovery.Move(addr)
+}
+
 // LogStatus logs the counters of requests, attempts and calls to the discovery service, and how old the endpoint list is.
 func (n *Node) LogStatus() {
 	stats, list := n.Stats(), n.discovery.Stats()
