proxy, backend: no attempt is written once another one's repeat window has passed

Callers saw: an effect twice.

Cause: repeatableAt compares the window with the time of the decision; the attempt itself knew no window, and dialed for as long as the connect timeout. Nor was a first attempt that waited asked whether a second copy had been written meanwhile.

It works as the condition is asked where the bytes leave, whatever was waited for. An attempt that is aborted while it is written ends then; it waited for a response until its deadline.

TestClientTimeout builds its Core from the renamed field and asserts the same.

--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -32,6 +32,7 @@
 	upstream *Upstream
 	req      *Request
 	deadline time.Time
+	mayWrite func() bool // see OnWrite; nil if it always may
 
 	mu         sync.Mutex
 	conn       *conn
@@ -46,6 +47,10 @@
 	return &Attempt{upstream: up, req: req, deadline: deadline}
 }
 
+// OnWrite sets a function that is called right before the first byte of the request is written. If it returns false, nothing is written
+// and the result is NotSent. The function must not block. OnWrite must be called before Do.
+func (a *Attempt) OnWrite(mayWrite func() bool) { a.mayWrite = mayWrite }
+
 // longAgo is a deadline in the past. Setting it interrupts pending reads and writes.
 var longAgo = time.Unix(1, 0)
 
--- a/internal/backend/attempt_test.go
+++ b/internal/backend/attempt_test.go
@@ -49,6 +49,42 @@
 
 const okResponse = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
+// Guards against an attempt that is written although it may not be any more, and against one that then waits for a response. Small
+// requests are written before the response is read, large ones meanwhile.
+func TestAttemptThatMayNotBeWritten(t *testing.T) {
+	testbed.Leaks(t)
+	for _, size := range []int{0, 2 * maxInlineBodyBytes} {
+		received := make(chan int, 1)
+		peer := testbed.NewPeer(t, func(c net.Conn, _ int) {
+			n, _ := io.Copy(io.Discard, c)
+			received <- int(n)
+		})
+		a := NewAttempt(newPool(t, Options{}, 9).Upstream(peer.Addr, 0), post(size), time.Now().Add(time.Hour))
+		a.OnWrite(func() bool { return false })
+		if reply := a.Do(failOnStream); reply.Result != balancer.NotSent {
+			t.Errorf("body of %d bytes: result %v, want %v", size, reply.Result, balancer.NotSent)
+		}
+		if n := testbed.Receive(t, "the end of the connection", received); n != 0 {
+			t.Errorf("body of %d bytes: %d bytes were written, want none", size, n)
+		}
+	}
+}
+
+// Guards against an attempt that is aborted while its body is written and then waits for a response until its deadline.
+func TestAbortWhileTheBodyIsWritten(t *testing.T) {
+	testbed.Leaks(t)
+	release := make(chan struct{})
+	defer close(release)
+	peer := testbed.NewPeer(t, func(net.Conn, int) { <-release })
+	a := NewAttempt(newPool(t, Options{}, 9).Upstream(peer.Addr, 0), post(64<<20), time.Now().Add(time.Hour))
+	time.AfterFunc(50*time.Millisecond, a.Abort)
+	done := make(chan Reply, 1)
+	go func() { done <- a.Do(failOnStream) }()
+	if reply := testbed.Receive(t, "the end of the attempt", done); reply.Result != balancer.NotSent {
+		t.Errorf("result %v, want %v", reply.Result, balancer.NotSent)
+	}
+}
+
 // Each kind of response maps to its result, including responses that resemble another kind.
 func TestOutcomes(t *testing.T) {
 	testbed.Leaks(t)
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -328,6 +328,7 @@
 	errNoDescriptor = errors.New("no file descriptor available for a connection")
 	errNoAddress    = errors.New("endpoint is draining or not in the endpoint list")
 	errNotWanted    = errors.New("client no longer waits for the response")
+	errNotAllowed   = errors.New("request must not be written any more")
 )
 
 // isLocalError reports whether a dial failed for a local reason, such as a resource shortage. Such an error must not count as
--- a/internal/backend/request.go
+++ b/internal/backend/request.go
@@ -65,6 +65,10 @@
 		rest = nil
 	}
 	*pooled = b
+	if a.mayWrite != nil && !a.mayWrite() {
+		a.Abort()
+		return errNotAllowed
+	}
 	if _, err := c.Write(b); err != nil {
 		return err
 	}
@@ -88,7 +92,11 @@
 func (a *Attempt) startWriting(c *conn) (join func() error) {
 	write := func() error {
 		err := a.writeRequest(c)
-		if err != nil {
+		switch {
+		case err == nil:
+		case a.isInterrupted(): // no response is awaited
+			c.SetReadDeadline(longAgo)
+		default:
 			a.extendWithin(c, errorBodyTimeout)
 		}
 		return err
--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -58,14 +58,14 @@
 // Core runs the requests of one cluster. It carries out the decisions of one Balancer, is independent of the client
 // protocol and gives each request exactly one final answer. Its methods are safe for concurrent use.
 type Core struct {
-	opt            Options
-	classDeadlines map[string]time.Duration
-	pool           *backend.Pool
-	startTime      time.Time
-	startUnix      time.Duration // startTime as the time since the Unix epoch
-	ctx            context.Context
-	cancel         context.CancelFunc
-	attempts       sync.WaitGroup // running attempts and health checks, and answers written in the background
+	opt       Options
+	classes   map[string]balancer.Class // by name
+	pool      *backend.Pool
+	startTime time.Time
+	startUnix time.Duration // startTime as the time since the Unix epoch
+	ctx       context.Context
+	cancel    context.CancelFunc
+	attempts  sync.WaitGroup // running attempts and health checks, and answers written in the background
 
 	ready atomic.Bool
 
@@ -84,7 +84,7 @@
 
 // NewCore returns a core that sends its attempts through pool. The caller must call Close when done.
 func NewCore(opt Options, pool *backend.Pool) (*Core, error) {
-	c := &Core{opt: opt, pool: pool, startTime: time.Now(), classDeadlines: map[string]time.Duration{}, idle: make(chan struct{}),
+	c := &Core{opt: opt, pool: pool, startTime: time.Now(), classes: map[string]balancer.Class{}, idle: make(chan struct{}),
 		requests: map[string]*request{}, upstreams: map[string]*backend.Upstream{}}
 	if opt.LogRequests {
 		c.events = &eventLog{}
@@ -92,7 +92,7 @@
 	c.startUnix = time.Duration(c.startTime.UnixNano())
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	for _, class := range opt.Settings.Classes {
-		c.classDeadlines[class.Name] = class.Deadline
+		c.classes[class.Name] = class
 	}
 	var err error
 	c.balancer, err = balancer.New(opt.Settings, opt.Seed, (*host)(c))
@@ -100,7 +100,7 @@
 }
 
 // Deadline returns how long a request of a class may take across all attempts, or 0 if the class does not exist.
-func (c *Core) Deadline(class string) time.Duration { return c.classDeadlines[class] }
+func (c *Core) Deadline(class string) time.Duration { return c.classes[class].Deadline }
 
 // Ready reports whether the core has received an endpoint list.
 func (c *Core) Ready() bool { return c.ready.Load() }
@@ -126,6 +126,7 @@
 			c.unanswered++
 			c.stats.Accepted++
 			q.acceptedAt = now
+			q.repeats = c.newRepeatGuard(q.Attributes.Class)
 			q.deadline = c.startTime.Add(now - c.startUnix + q.Attributes.TimeLeft)
 			c.balancer.Request(now, q.Attributes)
 		}
@@ -343,6 +344,7 @@
 	if reply.Unwanted { // abandoned before the outcome is reported, since the balancer would retry otherwise
 		c.Abandon(q)
 	}
+	q.repeats.ended(i, reply.Result)
 	outcome := balancer.Outcome{ID: q.id, Attempt: i, Result: reply.Result, Latency: time.Since(sent)}
 	if c.opt.LoadReports {
 		outcome.LoadReport = backend.ParseLoad(reply.LoadReport)
--- a/internal/proxy/host.go
+++ b/internal/proxy/host.go
@@ -39,6 +39,7 @@
 	if !q.answered && i < max(c.opt.Settings.MaxAttempts, 1) {
 		a = backend.NewAttempt(c.upstream(server), &q.Send, deadline)
 	}
+	q.repeats.add(a)
 	q.attempts = append(q.attempts, a)
 	q.attemptServers = append(q.attemptServers, server)
 	if i > 0 {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -93,7 +93,7 @@
 	if us, err := strconv.ParseInt(h.Get("X-Size-Hint"), 10, 64); err == nil && us > 0 && us < 1<<40 {
 		attrs.Work = time.Duration(us) * time.Microsecond
 	}
-	attrs.TimeLeft = n.classDeadlines[attrs.Class]
+	attrs.TimeLeft = n.Deadline(attrs.Class)
 	if ms, err := strconv.ParseInt(h.Get("X-Expires-In-Ms"), 10, 64); err == nil && ms > 0 && ms < int64(attrs.TimeLeft/time.Millisecond) {
 		attrs.TimeLeft = time.Duration(ms) * time.Millisecond
 	}
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -114,7 +114,7 @@
 
 // A client's own timeout is used if it is below the class's deadline. A value that is not a positive number is rejected.
 func TestClientTimeout(t *testing.T) {
-	node := &Node{Core: &Core{classDeadlines: map[string]time.Duration{"get": time.Second}}}
+	node := &Node{Core: &Core{classes: map[string]balancer.Class{"get": {Deadline: time.Second}}}}
 	for text, want := range map[string]time.Duration{"x": 0, "0": 0, "-5": 0, "1.5": 0, "99999999999999999999": 0,
 		"2000": time.Second, "480": 480 * time.Millisecond} {
 		r := &http.Request{ProtoMajor: 1, Host: "x", Header: http.Header{"X-Qos": {"get"}, "X-Expires-In-Ms": {text}}}
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -43,7 +43,8 @@
 	acceptedAt      time.Duration
 	deadline        time.Time
 	attempts        []*backend.Attempt
-	attemptServers  []string // IDs of the servers of attempts
+	repeats         *repeatGuard // limits attempts; nil if the request may be repeated at any time
+	attemptServers  []string     // IDs of the servers of attempts
 	attemptsRunning int
 	answered        bool
 	answer          Answer
