balancer: the only timer of a poll makes it, even if it expires early

Cause: pollSchedule ignores the timer of a poll that was replaced, which it knows by its expiring before the scheduled one. A host whose timers expire a little before the time that it then reports would lose the only timer so, and the proxy would poll no more.

Change: the timers that have not expired are counted, and the last one is that of the scheduled poll. A first form set an early timer again; TestPollTimesAreSpreadAndBounded failed with it.

Tests: TestTimerOfAReplacedPollDoesNotPoll.

--- a/balancer/pollrefused_test.go
+++ b/balancer/pollrefused_test.go
@@ -173,3 +173,27 @@
 		})
 	}
 }
+
+// Guards against a poll at the timer of an earlier one that was replaced, and against a proxy that polls no more because its only timer
+// expired a little too early.
+func TestTimerOfAReplacedPollDoesNotPoll(t *testing.T) {
+	cfg := settings()
+	cfg.Polled, cfg.MaxPollInterval = true, 10*time.Second
+	b, h := newTestBalancer(t, cfg, nil)
+	expire := func(at time.Duration, wantPoll bool) {
+		t.Helper()
+		h.now = at
+		b.Timer(h.now, pollTimer)
+		if polled := len(h.takeActions()) == 1; polled != wantPoll {
+			t.Errorf("a timer that expires at %v polls: %t, want %t", at, polled, wantPoll)
+		}
+	}
+	b.UpdateEndpoints(h.now, EndpointUpdate{Kind: UpdateCached, Servers: twoZones(2)})
+	b.UpdateEndpoints(h.now, EndpointUpdate{Kind: UpdateSnapshot, Servers: twoZones(2)}) // cancels the poll, but not its timer
+	h.takeActions()
+	h.now += time.Minute
+	b.UpdateEndpoints(h.now, EndpointUpdate{Kind: UpdateFailed})
+	due := h.timers[pollTimer]
+	expire(due-2*ms, false)
+	expire(due-ms, true)
+}
--- a/balancer/pollschedule.go
+++ b/balancer/pollschedule.go
@@ -31,6 +31,7 @@
 	host     Host
 	rng      *rand.Rand
 
+	timers   int           // that have not expired, also those of polls that were replaced or cancelled
 	timerSet bool          // a poll is scheduled
 	dueAt    time.Duration // when the scheduled poll is due
 	repeat   bool          // the scheduled poll repeats one that was turned away; otherwise it is a regular one
@@ -136,9 +137,12 @@
 	p.queueing = serviceQueueing{}
 }
 
-// timerExpired polls the list, unless an update was received since the timer was set or another poll is scheduled for later.
+// timerExpired polls the list, unless an update was received since the timer was set, or it was set for a poll that was replaced. The
+// last timer is that of the scheduled poll, even if it expires early.
 func (p *pollSchedule) timerExpired(now time.Duration) {
-	if !p.timerSet || now < p.dueAt {
+	p.timers = max(p.timers-1, 0)
+	replaced := now < p.dueAt && p.timers > 0
+	if !p.timerSet || replaced {
 		return
 	}
 	p.timerSet = false
@@ -162,6 +166,7 @@
 		p.timerSet = true
 		p.repeat = false
 		p.dueAt = now + after
+		p.timers++
 		p.host.SetTimer(pollTimer, after)
 	}
 }
