proxy: attempts and upstreams of a Core in files of their own

Change: runAttempt, beginStream, recordServed and abortUnsent move to attempts.go, the upstreams of the endpoint list to upstreams.go; no line of code is changed.

--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -13,7 +12,6 @@
 
 	"robindrum/balancer"
 	"robindrum/internal/backend"
-	"robindrum/internal/discovery"
 )
 
 // Options configure a Core.
@@ -269,142 +267,6 @@
 	return settled
 }
 
-// UpdateEndpoints applies an update of the endpoint list.
-func (c *Core) UpdateEndpoints(u discovery.Update) {
-	settled := c.runLocked(func(now time.Duration) {
-		if u.Kind != balancer.UpdateFailed {
-			c.updateUpstreams(u)
-		}
-		c.balancer.UpdateEndpoints(now, u.EndpointUpdate)
-	})
-	// Written in separate goroutines, since a client that does not read must not delay the caller.
-	for _, q := range settled {
-		c.attempts.Go(func() { c.writeAnswer(q) })
-	}
-	if u.Kind == balancer.UpdateSnapshot || u.Kind == balancer.UpdateDelta || u.Kind == balancer.UpdateCached && len(u.Servers) > 0 {
-		c.ready.Store(true)
-	}
-}
-
-// EndpointServiceMoved reports that the endpoint list service gets another address. The caller begins a watch there.
-func (c *Core) EndpointServiceMoved() {
-	c.withBalancer(c.balancer.EndpointServiceMoved)
-}
-
-// updateUpstreams makes the upstreams match an update of the endpoint list.
-func (c *Core) updateUpstreams(u discovery.Update) {
-	if u.Kind == balancer.UpdateSnapshot || u.Kind == balancer.UpdateCached {
-		for id := range c.upstreams {
-			if _, ok := u.Endpoints[id]; !ok {
-				c.retireUpstream(id)
-			}
-		}
-	}
-	for _, s := range u.Servers {
-		addr, ok := u.Endpoints[s.ID]
-		old := c.upstreams[s.ID]
-		switch {
-		case !ok:
-			c.retireUpstream(s.ID)
-		case old == nil:
-			c.upstreams[s.ID] = c.pool.Upstream(addr, s.Since)
-		case old.Addr() != addr || old.Since() != s.Since:
-			c.retireUpstream(s.ID)
-			c.upstreams[s.ID] = c.pool.Upstream(addr, s.Since)
-		}
-		if up := c.upstreams[s.ID]; up != nil {
-			up.SetDraining(s.State == balancer.Draining)
-		}
-	}
-}
-
-func (c *Core) retireUpstream(id string) {
-	if up := c.upstreams[id]; up != nil {
-		up.Retire()
-		delete(c.upstreams, id)
-	}
-}
-
-// runAttempt runs a, the attempt of q with index i, and reports its outcome to the balancer. If a is nil, the
-// outcome is NotSent.
-func (c *Core) runAttempt(q *request, i int, a *backend.Attempt) {
-	defer c.attempts.Done()
-	sent := time.Now()
-	reply := backend.Reply{Result: balancer.NotSent}
-	streams := false
-	if a != nil {
-		reply = a.Do(func(status int, h http.Header, length int64) io.Writer {
-			if !c.beginStream(q, i) {
-				return nil
-			}
-			streams = true
-			return q.Client.Begin(status, h, length)
-		})
-	}
-	if reply.Unwanted { // abandoned before the outcome is reported, since the balancer would retry otherwise
-		c.Abandon(q)
-	}
-	q.repeats.ended(i, reply.Result)
-	outcome := balancer.Outcome{ID: q.id, Attempt: i, Result: reply.Result, Latency: time.Since(sent)}
-	if c.opt.LoadReports {
-		outcome.LoadReport = backend.ParseLoad(reply.LoadReport)
-	}
-	if c.opt.HonorRetryAfter {
-		outcome.RetryAfter = reply.RetryAfter
-	}
-	if streams {
-		outcome.Latency = reply.FirstByteAt.Sub(sent)
-		q.Client.Finish(reply.Result == balancer.Served)
-		close(q.done)
-	}
-	c.withBalancer(func(now time.Duration) {
-		q.attemptsRunning--
-		switch response := (Answer{Status: reply.Status, Header: reply.Header, Body: reply.Body, Length: reply.Length}); {
-		case streams:
-			q.stream = nil
-			if reply.Result == balancer.Served {
-				c.recordServed(now, q)
-			} else {
-				c.stats.Failed++
-				c.notifyCompleted(now, q, OutcomeFailed)
-			}
-		case reply.Result == balancer.Served:
-			if c.settleAnswer(q, response) {
-				c.recordServed(now, q)
-			}
-		case reply.Result == balancer.ServerError && reply.Status != 0:
-			q.endpointError = &response
-		}
-		c.stats.Attempts[reply.Result]++
-		if reply.Result != balancer.Served {
-			c.events.info("attempt not served", "id", q.id, "attempt", i, "server", q.attemptServers[i], "result", reply.Result,
-				"latency", outcome.Latency, "answered", q.answered)
-		}
-		outcome.Final = q.answered && q.stream == nil
-		c.balancer.Outcome(now, outcome)
-		c.forgetIfFinished(q)
-	})
-}
-
-// beginStream makes the response of the attempt with index i the answer to q. It returns false if q is answered already.
-func (c *Core) beginStream(q *request, i int) (ok bool) {
-	c.withBalancer(func(now time.Duration) {
-		if ok = !q.answered; ok {
-			q.answered, q.stream = true, q.attempts[i]
-			c.countAnswered()
-			q.abortUnsent()
-			c.balancer.Started(now, q.id, i)
-		}
-	})
-	return ok
-}
-
-func (c *Core) recordServed(now time.Duration, q *request) {
-	c.stats.Served++
-	c.stats.TotalLatency += now - q.acceptedAt
-	c.notifyCompleted(now, q, OutcomeServed)
-}
-
 // logEnd logs how a request ended that was not served.
 func (c *Core) logEnd(now time.Duration, message string, q *request) {
 	c.events.info(message, "id", q.id, "class", q.Attributes.Class, "attempts", len(q.attempts), "after", now-q.acceptedAt,
@@ -417,16 +279,6 @@
 	}
 }
 
-// abortUnsent aborts the attempts that have not yet written the request. The settings may forbid cancelling attempts, and an
-// attempt whose connection is established late would otherwise send the request long after its final answer.
-func (q *Request) abortUnsent() {
-	for _, a := range q.attempts {
-		if a != nil && a != q.stream {
-			a.Abort()
-		}
-	}
-}
-
 // countAnswered removes an answered request from the count and the quota of open requests.
 func (c *Core) countAnswered() {
 	c.unanswered--
@@ -459,14 +311,6 @@
 	}
 }
 
-// upstream returns a server's upstream. If the server is no longer in the endpoint list, the upstream has no address.
-func (c *Core) upstream(server string) *backend.Upstream {
-	if up := c.upstreams[server]; up != nil {
-		return up
-	}
-	return c.pool.Unlisted()
-}
-
 // Close cancels all attempts, waits until they and the answers to their requests are done, and closes the pool.
 func (c *Core) Close() {
 	c.cancel()
