balancer: behind a move, calls that waited and were turned away are repeated sooner

Cause: where such a call shows a queue, its repeat only replaced a regular call that would be late. Behind a move the deadline is 4 s, and the regular call at the proxy's own offset left no time for a repeat of it: two calls in a row that wait for 1 s made the list 6.1 s late (48 of 48 plays).

Change: a move, like a longer outage, keeps a reserve of the time that the last call took.

Tests: TestRefusedPollsAreRepeatedInTime plays two such calls behind moves (failed before).

--- a/balancer/pollrefused_test.go
+++ b/balancer/pollrefused_test.go
@@ -117,29 +117,38 @@
 	return last, calls
 }
 
-// Guards against the fault that a proxy whose poll was turned away behind its start, a move or a long outage polled again only 5 s later
-// and sent to draining servers meanwhile.
-func TestRefusedPollsAreRepeatedInTime(t *testing.T) {
+// refusals is how often the polls of each proxy are turned away, and how long each of them takes.
+type refusals struct {
+	times int
+	after time.Duration
+}
+
+// endsWithMove reports whether an event ends with a move of an available service.
+func endsWithMove(event string) bool {
+	return strings.Contains(event, "service moves") && !strings.Contains(event, "outage")
+}
+
+// requireRepeatedInTime plays the refusals that refused returns for every event, at services that need up to 2 s for one call of each
+// proxy.
+func requireRepeatedInTime(t *testing.T, refused func(event string) []refusals) {
+	t.Helper()
 	for event := range pollEvents {
 		within := notifiedWithin
-		if strings.Contains(event, "service moves") && !strings.Contains(event, "outage") {
+		if endsWithMove(event) {
 			within = notifiedWithinOfMove
 		}
-		for _, refused := range []struct {
-			times int
-			after time.Duration
-		}{{0, 0}, {1, 0}, {2, 0}, {3, 0}, {1, time.Second}} {
-			t.Run(fmt.Sprintf("%s, refused %d times after %v", event, refused.times, refused.after), func(t *testing.T) {
+		for _, r := range refused(event) {
+			t.Run(fmt.Sprintf("%s, refused %d times after %v", event, r.times, r.after), func(t *testing.T) {
 				for _, n := range []int{10, 30, 100} {
 					for _, roundTime := range []time.Duration{300 * ms, 2 * time.Second} {
 						for seed := range uint64(8) {
 							c := refusedPolls{event: event, proxies: n, roundTime: roundTime, callTimeout: time.Second + time.Duration(seed%2)*time.Second,
-								turnsAway: true, answers: seed%4 < 2, refusals: refused.times, refusalTime: refused.after}
+								turnsAway: true, answers: seed%4 < 2, refusals: r.times, refusalTime: r.after}
 							last, calls := c.play(t, seed)
 							if last > within {
 								t.Errorf("%+v, seed %d: the last proxy received the list after %v, want at most %v", c, seed, last, within)
 							}
-							if most := refused.times + 8; calls > most {
+							if most := r.times + 8; calls > most {
 								t.Errorf("%+v, seed %d: a proxy made %d calls, want at most %d", c, seed, calls, most)
 							}
 						}
@@ -150,6 +159,25 @@
 	}
 }
 
+// Guards against the fault that a proxy whose poll was turned away behind its start, a move or a long outage polled again only 5 s later
+// and sent to draining servers meanwhile.
+func TestRefusedPollsAreRepeatedInTime(t *testing.T) {
+	requireRepeatedInTime(t, func(event string) []refusals {
+		played := []refusals{{0, 0}, {1, 0}, {2, 0}, {3, 0}, {1, time.Second}}
+		if endsWithMove(event) {
+			played = append(played, refusals{2, time.Second})
+		}
+		return played
+	})
+}
+
+// Guards against the same fault where polls are turned away more often, or late several times.
+func TestManyRefusedPollsAreRepeatedInTime(t *testing.T) {
+	requireRepeatedInTime(t, func(string) []refusals {
+		return []refusals{{4, 0}, {6, 0}, {2, time.Second}, {3, time.Second}}
+	})
+}
+
 // Guards against repeats that keep the queue of the service longer than the timeout of a call, so that no proxy receives the list any
 // more. The service needs four fifths of the interval between two polls for one call of each proxy, and processes what has timed out.
 func TestRefusedPollsDoNotOverloadTheService(t *testing.T) {
--- a/balancer/pollrepeat.go
+++ b/balancer/pollrepeat.go
@@ -30,7 +30,7 @@
 	}
 	next := p.nextRegular(spacing)
 	latest := p.latestAnswer()
-	isLate := next+reserve(took, queueing, overdue) > latest
+	isLate := next+reserve(took, queueing, overdue || p.moved) > latest
 	if isLate && !overloaded && now+minRepeatPause <= latest {
 		p.schedule(now, p.repeatPause(latest-now-took, queueing))
 		p.repeat = true
@@ -41,12 +41,12 @@
 
 // reserve returns the time that the next regular poll must leave before the service must have answered, so that it can be repeated too;
 // otherwise the last poll, which took the given time, is repeated at once. If the service has a queue, all proxies would make it longer
-// with repeats that regular polls can still replace.
-func reserve(took time.Duration, queueing, overdue bool) time.Duration {
+// with repeats that regular polls can still replace. A longer outage or a move leaves too little time for that.
+func reserve(took time.Duration, queueing, urgent bool) time.Duration {
 	switch {
 	case !queueing:
 		return repeatReserve
-	case overdue:
+	case urgent:
 		return took
 	}
 	return 0
--- a/balancer/pollschedule.go
+++ b/balancer/pollschedule.go
@@ -40,7 +40,8 @@
 	polledAt    time.Duration // start of the last poll
 	regularAt   time.Duration // start of the last regular poll
 	spacing     time.Duration // between the last two regular polls since the watch broke
-	watchBroken bool          // the watch broke or the service moved, and no poll has ended since then
+	watchBroken bool          // the watch broke or the service moved, and no regular poll has been scheduled since then
+	moved       bool          // the service moved, and likewise
 	deadline    time.Duration // 0 while a watch is open
 	interrupted int           // polls in a row that were repeated because their answers were interrupted
 	queueing    serviceQueueing
@@ -89,7 +90,7 @@
 
 // scheduleRegular schedules the next regular poll at a time that nextRegular has returned for the spacing.
 func (p *pollSchedule) scheduleRegular(now, next, spacing time.Duration) {
-	p.watchBroken = false
+	p.watchBroken, p.moved = false, false
 	p.spacing = spacing
 	p.schedule(now, max(next-now, minRepeatPause))
 }
@@ -122,7 +123,7 @@
 		p.deadline = deadline
 	}
 	p.timerSet = false
-	p.watchBroken = true
+	p.watchBroken, p.moved = true, true
 	p.spacing = p.interval()
 	p.interrupted = 0
 	p.queueing = serviceQueueing{}
@@ -131,7 +132,8 @@
 
 // succeeded cancels the scheduled poll because an update of the list was received.
 func (p *pollSchedule) succeeded() {
-	p.timerSet, p.pending, p.watchBroken = false, false, false
+	p.timerSet, p.pending = false, false
+	p.watchBroken, p.moved = false, false
 	p.deadline = 0
 	p.interrupted = 0
 	p.queueing = serviceQueueing{}
